Workspace with the thin whole path: three daemons, platform and targets

Cause: nothing existed. Change: libraries common, schema, settings, metrics, routing, fleet, pipeline and net, the daemon, a first command line, stand-ins, a demo. Known gaps: no grants yet, so non-repeatable stages are only guarded by their own daemon; limits are static.

--- /dev/null
+++ b/src/app/cassiarelayd/daemon.cpp
@@ -0,0 +1,142 @@
+#include "daemon.h"
+
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+
+namespace CassiaRelay::Daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds ROUTER_TICK { 10 };
+constexpr std::chrono::milliseconds IDLE_CHECK { 20 };
+
+// Wall-clock start time: rises from one start of a VM's process to the next.
+Incarnation newIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()));
+}
+
+std::string requestIdPrefix(const VmId &vm, Incarnation incarnation)
+{
+    return vm.value() + "-" + std::to_string(incarnation.value()) + "-";
+}
+
+Net::HttpLimits toLimits(const Schema::CallerListener &listener)
+{
+    Net::HttpLimits limits;
+    limits.maxBodyBytes = static_cast<std::size_t>(listener.maxBodyBytes.value_or(static_cast<std::int64_t>(limits.maxBodyBytes)));
+    limits.maxHeaderBytes = static_cast<std::size_t>(listener.maxHeaderBytes.value_or(static_cast<std::int64_t>(limits.maxHeaderBytes)));
+    limits.maxConnections = static_cast<std::size_t>(listener.maxConnections.value_or(static_cast<std::int64_t>(limits.maxConnections)));
+    limits.readTimeout = std::chrono::milliseconds(listener.readTimeoutMs.value_or(limits.readTimeout.count()));
+    limits.idleTimeout = std::chrono::milliseconds(listener.idleTimeoutMs.value_or(limits.idleTimeout.count()));
+    return limits;
+}
+
+} // namespace
+
+Daemon::Daemon(const Settings::ProcessSettings &settings)
+    : m_incarnation(newIncarnation())
+    , m_requestWork(boost::asio::make_work_guard(m_requestContext))
+    , m_router(m_incarnation.value())
+    , m_targetHttp(m_requestContext)
+    , m_targets(m_targetHttp)
+    , m_control(m_controlContext,
+                settings,
+                m_incarnation,
+                [this](const std::shared_ptr<const FleetView> &view) { m_router.adopt(view->targets, view->settings); })
+    , m_services { m_requestContext, m_router, m_targets, m_metrics, [this] { return m_control.view(); } }
+    , m_callerApi(m_services, requestIdPrefix(settings.vm, m_incarnation))
+    , m_operatorApi(m_services, m_control, settings.operators.token)
+    , m_callerServer(m_requestContext,
+                     settings.callers.address,
+                     static_cast<std::uint16_t>(settings.callers.port),
+                     toLimits(settings.callers),
+                     [this](const Net::HttpExchangePointer &exchange) { m_callerApi.handle(exchange); })
+    , m_operatorServer(m_controlContext,
+                       settings.operators.address,
+                       static_cast<std::uint16_t>(settings.operators.port),
+                       {},
+                       [this](const Net::HttpExchangePointer &exchange) { m_operatorApi.handle(exchange); })
+    , m_signals(m_controlContext, SIGTERM, SIGINT)
+    , m_shutdownTimer(m_controlContext)
+    , m_routerTimer(m_requestContext)
+    , m_threads(settings.threads)
+{
+}
+
+void Daemon::run()
+{
+    m_callerServer.start();
+    m_operatorServer.start();
+    m_control.start();
+    waitForSignal();
+    tickRouter();
+    std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(m_threads));
+    for (int index = 0; index < m_threads; ++index) {
+        threads.emplace_back([this] { m_requestContext.run(); });
+    }
+    m_controlContext.run();
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    spdlog::info("stopped");
+}
+
+void Daemon::waitForSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int) {
+        if (error) {
+            return;
+        }
+        if (m_services.draining) {
+            stopNow();
+            return;
+        }
+        beginShutdown();
+        waitForSignal();
+    });
+}
+
+void Daemon::beginShutdown()
+{
+    spdlog::info("shutting down, {} requests are running", m_services.activeRequests.load());
+    m_services.draining = true;
+    finishShutdownWhenIdle();
+}
+
+void Daemon::finishShutdownWhenIdle()
+{
+    if (m_services.activeRequests == 0) {
+        stopNow();
+        return;
+    }
+    m_shutdownTimer.expires_after(IDLE_CHECK);
+    m_shutdownTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            finishShutdownWhenIdle();
+        }
+    });
+}
+
+void Daemon::stopNow()
+{
+    m_control.stop();
+    m_requestContext.stop();
+    m_controlContext.stop();
+}
+
+void Daemon::tickRouter()
+{
+    m_router.tick();
+    m_routerTimer.expires_after(ROUTER_TICK);
+    m_routerTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tickRouter();
+        }
+    });
+}
+
+} // namespace CassiaRelay::Daemon
--- /dev/null
+++ b/src/app/cassiarelayd/daemon.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "callerapi.h"
+#include "controlplane.h"
+#include "operatorapi.h"
+#include "requestdriver.h"
+#include "workrouter.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <thread>
+#include <vector>
+
+namespace CassiaRelay::Daemon {
+
+/** One daemon process: a control thread and the threads that serve requests. */
+class Daemon
+{
+public:
+    explicit Daemon(const Settings::ProcessSettings &settings);
+
+    /** Serves until SIGTERM or SIGINT; a graceful shutdown lets every running request finish. */
+    void run();
+
+private:
+    void waitForSignal();
+    void beginShutdown();
+    void finishShutdownWhenIdle();
+    void stopNow();
+    void tickRouter();
+
+    Incarnation m_incarnation;
+    boost::asio::io_context m_requestContext;
+    boost::asio::io_context m_controlContext;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_requestWork;
+    Metrics::Registry m_metrics;
+    WorkRouter m_router;
+    Net::HttpClient m_targetHttp;
+    Net::TargetClient m_targets;
+    ControlPlane m_control;
+    RequestServices m_services;
+    CallerApi m_callerApi;
+    OperatorApi m_operatorApi;
+    Net::HttpServer m_callerServer;
+    Net::HttpServer m_operatorServer;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_shutdownTimer;
+    boost::asio::steady_timer m_routerTimer;
+    int m_threads;
+};
+
+} // namespace CassiaRelay::Daemon
--- /dev/null
+++ b/src/app/cassiarelayd/main.cpp
@@ -0,0 +1,78 @@
+#include "daemon.h"
+
+#include <boost/program_options.hpp>
+#include <spdlog/spdlog.h>
+
+#include <iostream>
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int EXIT_BAD_SETTINGS = 2;
+constexpr int EXIT_BAD_USAGE = 64;
+
+void setUpLog(const CassiaRelay::Schema::LogSettings &log)
+{
+    using CassiaRelay::Schema::LogFormat;
+    using CassiaRelay::Schema::LogLevel;
+    if (log.format.value_or(LogFormat::Text) == LogFormat::Json) {
+        spdlog::set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","message":"%v"})");
+    }
+    switch (log.level.value_or(LogLevel::Info)) {
+    case LogLevel::Debug:
+        spdlog::set_level(spdlog::level::debug);
+        break;
+    case LogLevel::Info:
+        spdlog::set_level(spdlog::level::info);
+        break;
+    case LogLevel::Warning:
+        spdlog::set_level(spdlog::level::warn);
+        break;
+    case LogLevel::Error:
+        spdlog::set_level(spdlog::level::err);
+        break;
+    }
+}
+
+int runDaemon(const options::variables_map &arguments)
+{
+    const auto settings = CassiaRelay::Settings::loadProcessSettings(arguments["settings"].as<std::string>());
+    if (arguments.count("check") > 0) {
+        std::cout << "settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    setUpLog(settings.log);
+    CassiaRelay::Daemon::Daemon daemon(settings);
+    daemon.run();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::options_description description("cassiarelayd --settings FILE [--check]");
+    description.add_options()("settings", options::value<std::string>(), "settings file of this daemon")(
+        "check", "check the settings and exit")("help", "show this help");
+    options::variables_map arguments;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), arguments);
+    } catch (const options::error &error) {
+        std::cerr << "cassiarelayd: " << error.what() << "; see cassiarelayd --help\n";
+        return EXIT_BAD_USAGE;
+    }
+    if (arguments.count("help") > 0 || arguments.count("settings") == 0) {
+        std::cout << description;
+        return arguments.count("help") > 0 ? EXIT_SUCCESS : EXIT_BAD_USAGE;
+    }
+    try {
+        return runDaemon(arguments);
+    } catch (const CassiaRelay::Error &error) {
+        std::cerr << "cassiarelayd: " << error.what() << "; " << error.remedy() << "\n";
+        return EXIT_BAD_SETTINGS;
+    } catch (const std::exception &error) {
+        std::cerr << "cassiarelayd: " << error.what() << "\n";
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/src/app/cassiarelayd/requestdriver.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "fleetview.h"
+#include "workrouter.h"
+
+#include <metrics/metrics.h>
+#include <net/net.h>
+#include <pipeline/pipeline.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+
+namespace CassiaRelay::Daemon {
+
+/** What every request of the daemon shares. */
+struct RequestServices {
+    boost::asio::io_context &context;
+    WorkRouter &router;
+    Net::TargetClient &targets;
+    Metrics::Registry &metrics;
+    std::function<std::shared_ptr<const FleetView>()> view;
+    std::atomic<std::size_t> activeRequests { 0 };
+    std::atomic<bool> draining { false };
+};
+
+/** Carries out the actions of one request's state machine on its own strand. */
+class RequestDriver : public WorkOwner, public std::enable_shared_from_this<RequestDriver>
+{
+public:
+    RequestDriver(RequestServices &services, Net::HttpExchangePointer exchange, Pipeline::CallerRequest request);
+    ~RequestDriver() override;
+    RequestDriver(const RequestDriver &) = delete;
+    RequestDriver &operator=(const RequestDriver &) = delete;
+
+    void start();
+    void onDecision(const Routing::Decision &decision) override;
+
+private:
+    struct RunningCall {
+        Net::TargetCallRequest request;
+        std::shared_ptr<Net::HttpCall> call;
+    };
+
+    template<typename Event>
+    void post(Event event);
+    void perform(const Pipeline::Actions &actions);
+    void perform(const Pipeline::SubmitWork &action);
+    void perform(const Pipeline::WithdrawWork &action);
+    void perform(const Pipeline::ReleaseWork &action);
+    void perform(const Pipeline::SendAttempt &action);
+    void perform(const Pipeline::CancelAttempt &action);
+    void perform(const Pipeline::DeliverText &action);
+    void perform(const Pipeline::Answer &action);
+    void perform(const Pipeline::Refuse &action);
+    void perform(const Pipeline::ArmTimer &action);
+    void startStreamOnce();
+    void pauseOrResume();
+
+    RequestServices &m_services;
+    Net::HttpExchangePointer m_exchange;
+    Pipeline::RequestMachine m_machine;
+    boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+    boost::asio::steady_timer m_timer;
+    std::map<Pipeline::AttemptId, RunningCall> m_calls;
+    bool m_streamStarted = false;
+    std::size_t m_deliveredBytes = 0;
+};
+
+} // namespace CassiaRelay::Daemon
--- /dev/null
+++ b/src/libs/common/common.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/** @file
+ * Public header of the common library: identifiers, typed errors, clock types, hashing, snapshots.
+ */
+
+#include "clock.h"
+#include "error.h"
+#include "hash.h"
+#include "overloaded.h"
+#include "snapshot.h"
+#include "strongid.h"
--- /dev/null
+++ b/src/libs/fleet/fleet.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/** @file
+ * Public header of the fleet library: what the daemons of a cell decide together.
+ * Nothing here does I/O; messages, timers and times are arguments, what to send is returned.
+ */
+
+#include "cell.h"
+#include "documentstore.h"
+#include "fleetnode.h"
+#include "grant.h"
+#include "output.h"
--- /dev/null
+++ b/src/libs/fleet/grant.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <common/common.h>
+
+#include <string>
+#include <tuple>
+#include <variant>
+
+namespace CassiaRelay::Fleet {
+
+/** What runs at most once: a non-repeatable stage of a request, by the key that its caller gave. */
+struct GrantKey {
+    OrganisationId organisation;
+    std::string idempotencyKey;
+    StageName stage;
+
+    friend bool operator<(const GrantKey &left, const GrantKey &right)
+    {
+        return std::tie(left.organisation, left.idempotencyKey, left.stage)
+            < std::tie(right.organisation, right.idempotencyKey, right.stage);
+    }
+    friend bool operator==(const GrantKey &left, const GrantKey &right)
+    {
+        return std::tie(left.organisation, left.idempotencyKey, left.stage)
+            == std::tie(right.organisation, right.idempotencyKey, right.stage);
+    }
+};
+
+/** Names one claim of one daemon; unique in its incarnation. */
+using ClaimId = StrongId<struct ClaimTag, std::uint64_t>;
+
+/** Asks for the right to run a stage. */
+struct GrantClaim {
+    ClaimId id;
+    GrantKey key;
+    Fingerprint fingerprint; ///< of organisation and body: the same key with another body is refused
+    MonotonicTime deadline;
+};
+
+/** This daemon may send the stage, until the deadline of its claim. */
+struct GrantHeld {
+};
+
+/** The stage has run before, here or on another daemon; this is what it returned. */
+struct GrantReplayed {
+    std::string result; ///< JSON text
+};
+
+/** The stage must not be sent under this claim. */
+struct GrantRefused {
+    Refusal refusal;
+};
+
+using GrantDecision = std::variant<GrantHeld, GrantReplayed, GrantRefused>;
+
+/** How a granted stage ended. */
+enum class GrantEnd {
+    Succeeded,
+    NotRun, ///< proven: no byte was sent, or the target refused it before it ran
+    Unknown,
+};
+
+} // namespace CassiaRelay::Fleet
--- /dev/null
+++ b/src/libs/metrics/metrics.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/** @file
+ * Public header of the metrics library: counters and histograms, written as Prometheus text.
+ */
+
+#include "registry.h"
--- /dev/null
+++ b/src/libs/net/httpclient.cpp
@@ -0,0 +1,317 @@
+#include "httpclient.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <optional>
+
+namespace CassiaRelay::Net {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t MAX_IDLE_PER_SERVER = 64;
+constexpr std::size_t READ_BUFFER_BYTES = 8192;
+constexpr std::size_t MAX_HEAD_BYTES = 64 * 1024;
+constexpr std::chrono::seconds CONNECT_TIMEOUT { 2 };
+
+using Stream = boost::beast::tcp_stream;
+
+} // namespace
+
+/** Idle connections by server. */
+class HttpClient::Pool
+{
+public:
+    std::unique_ptr<Stream> take(const std::string &server)
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::unique_ptr<Stream>> &idle = m_idle[server];
+        while (!idle.empty()) {
+            std::unique_ptr<Stream> stream = std::move(idle.back());
+            idle.pop_back();
+            if (isUsable(*stream)) {
+                return stream;
+            }
+        }
+        return nullptr;
+    }
+
+    void giveBack(const std::string &server, std::unique_ptr<Stream> stream)
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::unique_ptr<Stream>> &idle = m_idle[server];
+        if (idle.size() < MAX_IDLE_PER_SERVER) {
+            idle.push_back(std::move(stream));
+        }
+    }
+
+private:
+    // An idle connection on which something can be read was closed by the server, or is out of step.
+    static bool isUsable(Stream &stream)
+    {
+        std::array<char, 1> byte {};
+        error_code error;
+        stream.socket().non_blocking(true, error);
+        stream.socket().receive(boost::asio::buffer(byte), boost::asio::socket_base::message_peek, error);
+        return error == boost::asio::error::would_block;
+    }
+
+    std::mutex m_mutex;
+    std::map<std::string, std::vector<std::unique_ptr<Stream>>> m_idle;
+};
+
+/** One call; lives until its response is whole, has failed or was cancelled. */
+class ClientCall : public HttpCall, public std::enable_shared_from_this<ClientCall>
+{
+public:
+    ClientCall(boost::asio::io_context &context, std::shared_ptr<HttpClient::Pool> pool, HttpCallRequest request, HttpCallHandlers handlers)
+        : m_pool(std::move(pool))
+        , m_request(std::move(request))
+        , m_handlers(std::move(handlers))
+        , m_server(m_request.address + ":" + std::to_string(m_request.port))
+        , m_stream(m_request.reuseConnection ? m_pool->take(m_server) : nullptr)
+        , m_strand(m_stream ? m_stream->get_executor() : boost::asio::any_io_executor(boost::asio::make_strand(context)))
+    {
+    }
+
+    void start()
+    {
+        boost::asio::dispatch(m_strand, [self = shared_from_this()] { self->connect(); });
+    }
+
+    void cancel() override
+    {
+        boost::asio::dispatch(m_strand, [self = shared_from_this()] {
+            self->m_done = true;
+            self->m_handlers = {};
+            self->closeStream();
+        });
+    }
+
+    void pause() override
+    {
+        boost::asio::dispatch(m_strand, [self = shared_from_this()] { self->m_paused = true; });
+    }
+
+    void resume() override
+    {
+        boost::asio::dispatch(m_strand, [self = shared_from_this()] {
+            if (!std::exchange(self->m_paused, false) || !std::exchange(self->m_readHeldBack, false)) {
+                return;
+            }
+            self->readBody();
+        });
+    }
+
+private:
+    void connect()
+    {
+        if (m_done) {
+            return;
+        }
+        if (m_stream) {
+            write();
+            return;
+        }
+        error_code error;
+        const auto address = boost::asio::ip::make_address(m_request.address, error);
+        if (error) {
+            fail(CallFailure::NotSent, "'" + m_request.address + "' is not an IP number");
+            return;
+        }
+        m_stream = std::make_unique<Stream>(m_strand);
+        m_stream->expires_at(std::min(m_request.deadline, std::chrono::steady_clock::now() + CONNECT_TIMEOUT));
+        m_stream->async_connect(tcp::endpoint(address, m_request.port), [self = shared_from_this()](const error_code &result) {
+            if (result) {
+                self->fail(CallFailure::NotSent, "cannot connect to " + self->m_server + ": " + result.message());
+                return;
+            }
+            error_code ignored;
+            self->m_stream->socket().set_option(tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void write()
+    {
+        if (m_done) {
+            return;
+        }
+        if (std::chrono::steady_clock::now() >= m_request.deadline) {
+            fail(CallFailure::NotSent, "the deadline has passed");
+            return;
+        }
+        m_message.method(http::string_to_verb(m_request.method));
+        m_message.target(m_request.path);
+        m_message.set(http::field::host, m_server);
+        m_message.set(http::field::content_type, "application/json");
+        for (const HttpField &field : m_request.fields) {
+            m_message.set(field.name, field.value);
+        }
+        m_message.body() = std::move(m_request.body);
+        m_message.prepare_payload();
+        expireAtDeadline();
+        http::async_write(*m_stream, m_message, [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (error) {
+                self->failWith(error);
+                return;
+            }
+            self->readHead();
+        });
+    }
+
+    void readHead()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(MAX_HEAD_BYTES);
+        m_parser->body_limit(boost::none);
+        http::async_read_header(*m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
+            if (error) {
+                self->failWith(error);
+                return;
+            }
+            self->onHead();
+        });
+    }
+
+    void onHead()
+    {
+        if (m_done) {
+            return;
+        }
+        if (m_handlers.onHead) {
+            m_handlers.onHead({ m_parser->get().result_int(), m_parser->get().base() });
+        }
+        readBody();
+    }
+
+    void readBody()
+    {
+        if (m_done) {
+            return;
+        }
+        if (m_parser->is_done()) {
+            finish();
+            return;
+        }
+        if (m_paused) {
+            m_readHeldBack = true;
+            return;
+        }
+        m_parser->get().body().data = m_chunk.data();
+        m_parser->get().body().size = m_chunk.size();
+        http::async_read_some(*m_stream, m_buffer, *m_parser, [self = shared_from_this()](error_code error, std::size_t) {
+            if (error == http::error::need_buffer) {
+                error = {};
+            }
+            if (error) {
+                self->failWith(error);
+                return;
+            }
+            self->onBody();
+        });
+    }
+
+    void onBody()
+    {
+        if (m_done) {
+            return;
+        }
+        const std::size_t size = m_chunk.size() - m_parser->get().body().size;
+        if (size > 0 && m_handlers.onBody) {
+            m_handlers.onBody(std::string(m_chunk.data(), size));
+        }
+        readBody();
+    }
+
+    void finish()
+    {
+        m_done = true;
+        if (m_parser->get().keep_alive()) {
+            m_stream->expires_never();
+            m_pool->giveBack(m_server, std::move(m_stream));
+        } else {
+            closeStream();
+        }
+        const HttpCallHandlers handlers = std::exchange(m_handlers, {});
+        if (handlers.onFinished) {
+            handlers.onFinished();
+        }
+    }
+
+    void failWith(const error_code &error)
+    {
+        if (error == boost::beast::error::timeout) {
+            fail(CallFailure::TimedOut, m_server + " did not answer in time");
+            return;
+        }
+        fail(CallFailure::ConnectionLost, "connection to " + m_server + " lost: " + error.message());
+    }
+
+    void fail(CallFailure failure, const std::string &detail)
+    {
+        if (std::exchange(m_done, true)) {
+            return;
+        }
+        closeStream();
+        const HttpCallHandlers handlers = std::exchange(m_handlers, {});
+        if (handlers.onFailed) {
+            handlers.onFailed(failure, detail);
+        }
+    }
+
+    void expireAtDeadline()
+    {
+        if (m_request.deadline == MonotonicTime::max()) {
+            m_stream->expires_never();
+        } else {
+            m_stream->expires_at(m_request.deadline);
+        }
+    }
+
+    void closeStream()
+    {
+        if (m_stream) {
+            m_stream->close();
+        }
+    }
+
+    std::shared_ptr<HttpClient::Pool> m_pool;
+    HttpCallRequest m_request;
+    HttpCallHandlers m_handlers;
+    std::string m_server;
+    std::unique_ptr<Stream> m_stream;
+    boost::asio::any_io_executor m_strand; ///< a reused connection brings its own
+    boost::beast::flat_buffer m_buffer;
+    http::request<http::string_body> m_message;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::array<char, READ_BUFFER_BYTES> m_chunk {};
+    bool m_paused = false;
+    bool m_readHeldBack = false;
+    bool m_done = false;
+};
+
+HttpClient::HttpClient(boost::asio::io_context &context)
+    : m_context(context)
+    , m_pool(std::make_shared<Pool>())
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<HttpCall> HttpClient::send(HttpCallRequest request, HttpCallHandlers handlers)
+{
+    auto call = std::make_shared<ClientCall>(m_context, m_pool, std::move(request), std::move(handlers));
+    call->start();
+    return call;
+}
+
+} // namespace CassiaRelay::Net
--- /dev/null
+++ b/src/libs/pipeline/action.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <common/common.h>
+#include <routing/routing.h>
+#include <settings/settings.h>
+
+#include <chrono>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace CassiaRelay::Pipeline {
+
+/** Names one attempt of one stage; answers that carry another id are dropped. */
+using AttemptId = StrongId<struct AttemptTag>;
+
+/** Asks the dispatcher for a slot. */
+struct SubmitWork {
+    Routing::WorkItem item;
+};
+
+/** Takes back work that has no slot yet. */
+struct WithdrawWork {
+    WorkId work;
+};
+
+/** Tells the dispatcher that the slot of the work is free. */
+struct ReleaseWork {
+    WorkId work;
+    Routing::AttemptOutcome outcome = Routing::AttemptOutcome::Cancelled;
+    Duration serviceTime {};
+};
+
+/** Calls the target now. */
+struct SendAttempt {
+    AttemptId attempt;
+    TargetId target;
+    std::string path;
+    std::string body;
+    Schema::StageKind kind = Schema::StageKind::Call;
+    MonotonicTime deadline;
+    bool repeatable = true;
+};
+
+/** Ends a call whose answer is no longer wanted. */
+struct CancelAttempt {
+    AttemptId attempt;
+};
+
+/** Hands the next part of the answer to a streaming caller. */
+struct DeliverText {
+    std::string text;
+};
+
+/** The whole answer; the last action of a request that succeeded. */
+struct Answer {
+    nlohmann::json results;
+    std::string text;
+};
+
+/** The last action of a request that did not succeed. */
+struct Refuse {
+    Refusal refusal;
+};
+
+/** Calls onTimer at that time; replaces an earlier one. */
+struct ArmTimer {
+    MonotonicTime at;
+};
+
+using Action = std::variant<SubmitWork, WithdrawWork, ReleaseWork, SendAttempt, CancelAttempt, DeliverText, Answer, Refuse, ArmTimer>;
+using Actions = std::vector<Action>;
+
+} // namespace CassiaRelay::Pipeline
--- /dev/null
+++ b/src/libs/pipeline/requestmachine.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "action.h"
+#include "callerrequest.h"
+
+#include <optional>
+#include <string>
+
+namespace CassiaRelay::Pipeline {
+
+/** How a call failed, as seen by the daemon. */
+struct AttemptFailure {
+    Routing::AttemptOutcome outcome = Routing::AttemptOutcome::Failed;
+    std::string detail;
+};
+
+/**
+ * Runs the stages of one request one after the other and gives exactly one Answer or Refuse.
+ *
+ * Not thread safe: the strand of the request calls it. After the last action every event is ignored.
+ */
+class RequestMachine
+{
+public:
+    /** @param firstWork ids from here on belong to this request */
+    RequestMachine(CallerRequest request, WorkId firstWork);
+
+    Actions start(MonotonicTime now);
+    Actions onAssigned(WorkId work, const TargetId &target, MonotonicTime now);
+    Actions onRejected(WorkId work, const Refusal &refusal, MonotonicTime now);
+    /** @param offset bytes of the answer before this text */
+    Actions onText(const AttemptId &attempt, std::uint64_t offset, const std::string &text, MonotonicTime now);
+    Actions onSucceeded(const AttemptId &attempt, nlohmann::json result, MonotonicTime now);
+    Actions onFailed(const AttemptId &attempt, const AttemptFailure &failure, MonotonicTime now);
+    Actions onTimer(MonotonicTime now);
+    Actions onCallerGone(MonotonicTime now);
+
+    const CallerRequest &request() const;
+    bool isFinished() const;
+
+private:
+    struct Attempt {
+        AttemptId id;
+        WorkId work;
+        TargetId target;
+        MonotonicTime startedAt;
+    };
+
+    const Settings::StageSettings &stage() const;
+    bool isCurrent(const AttemptId &attempt) const;
+    Actions submitStage(MonotonicTime now);
+    void finishAttempt(Routing::AttemptOutcome outcome, MonotonicTime now, Actions &actions);
+    Actions retryOrRefuse(const AttemptFailure &failure, MonotonicTime now);
+    Actions finishStage(nlohmann::json result, MonotonicTime now);
+    Actions refuse(Refusal refusal, MonotonicTime now);
+    Outcome currentOutcome() const;
+
+    CallerRequest m_request;
+    std::uint64_t m_nextWork;
+    std::size_t m_stage = 0;
+    int m_attempts = 0; ///< attempts of the current stage
+    std::optional<WorkId> m_waiting;
+    std::optional<Attempt> m_running;
+    std::optional<TargetId> m_failedTarget;
+    nlohmann::json m_results = nlohmann::json::object();
+    std::string m_text; ///< of the current or last generate stage
+    bool m_nonRepeatableSent = false;
+    bool m_finished = false;
+};
+
+} // namespace CassiaRelay::Pipeline
--- /dev/null
+++ b/src/libs/routing/workitem.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <common/common.h>
+
+#include <optional>
+
+namespace CassiaRelay::Routing {
+
+/** One stage of one request that wants a slot on a target. */
+struct WorkItem {
+    WorkId id;
+    OrganisationId organisation;
+    PoolName pool;
+    int priorityClass = 0;
+    MonotonicTime deadline;
+    /** Requests that share a prompt prefix have the same value; 0 for none. */
+    std::uint64_t affinity = 0;
+    Fingerprint fingerprint;
+    bool repeatable = true;
+    /** 0 for the first attempt of the stage. */
+    int attempt = 0;
+    /** The target that failed the last attempt; chosen again only when there is no other. */
+    std::optional<TargetId> avoid;
+};
+
+/** How an attempt on a target ended. */
+enum class AttemptOutcome {
+    Succeeded,
+    Failed,         ///< the target answered with an error
+    Refused,        ///< the target turned the work away before it ran
+    ConnectionLost, ///< the target went while it ran the work
+    TimedOut,
+    Cancelled,
+};
+
+} // namespace CassiaRelay::Routing
--- /dev/null
+++ b/src/libs/schema/codec.cpp
@@ -0,0 +1,60 @@
+#include "codec.h"
+
+#include <common/common.h>
+
+namespace CassiaRelay::Schema {
+
+namespace {
+
+template<typename Message>
+constexpr const char *KIND = nullptr;
+template<>
+constexpr const char *KIND<Hello> = "hello";
+template<>
+constexpr const char *KIND<Heartbeat> = "heartbeat";
+template<>
+constexpr const char *KIND<DocumentRequest> = "documentRequest";
+template<>
+constexpr const char *KIND<DocumentReply> = "documentReply";
+
+// Tries the alternatives one after the other until one has the kind of the message.
+template<std::size_t Index = 0>
+std::optional<PeerMessage> fromKind(const std::string &kind, const json &body)
+{
+    if constexpr (Index < std::variant_size_v<PeerMessage>) {
+        using Message = std::variant_alternative_t<Index, PeerMessage>;
+        if (kind == KIND<Message>) {
+            return body.get<Message>();
+        }
+        return fromKind<Index + 1>(kind, body);
+    } else {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encode(const PeerMessage &message)
+{
+    json document = json::object();
+    std::visit([&document](const auto &body) { document[KIND<std::decay_t<decltype(body)>>] = body; }, message);
+    std::string bytes;
+    json::to_cbor(document, bytes);
+    return bytes;
+}
+
+std::optional<PeerMessage> decode(std::string_view bytes)
+{
+    try {
+        const json document = json::from_cbor(bytes);
+        if (!document.is_object() || document.size() != 1) {
+            throw Error(ErrorKind::BadRequest, "peer message is not an object with one field");
+        }
+        return fromKind(document.begin().key(), document.begin().value());
+    } catch (const std::exception &failure) {
+        throw Error(
+            ErrorKind::BadRequest, std::string("peer message cannot be read: ") + failure.what(), "run the same release on all VMs");
+    }
+}
+
+} // namespace CassiaRelay::Schema
--- /dev/null
+++ b/src/libs/settings/settings.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/** @file
+ * Public header of the settings library: what people write, checked and made into immutable snapshots.
+ */
+
+#include "fleetsettings.h"
+#include "problem.h"
+#include "processsettings.h"
+#include "publisheddocument.h"
