--- a/src/libs/fleet/grant.h
+++ b/src/libs/fleet/grant.h
@@ -37,8 +37,9 @@
     MonotonicTime deadline;
 };
 
-/** This daemon may send the stage, until the deadline of its claim. */
+/** This daemon may send the stage. */
 struct GrantHeld {
+    MonotonicTime startBefore; ///< checked again immediately before the first byte is written
 };
 
 /** The stage has run before, here or on another daemon; this is what it returned. */
