Keep the owner of work once per request

Cause: WorkRouter kept one weak pointer per unit of work and never dropped those of withdrawn work; a weak pointer keeps the whole object of make_shared allocated, so each withdrawn stage leaked a request. Change: one entry per block of work ids, removed by the request's destructor; a slot assigned to a request that has gone is freed at once.

--- a/src/app/cassiarelayd/requestdriver.cpp
+++ b/src/app/cassiarelayd/requestdriver.cpp
@@ -28,7 +28,8 @@
 RequestDriver::RequestDriver(RequestServices &services, Net::HttpExchangePointer exchange, Pipeline::CallerRequest request)
     : m_services(services)
     , m_exchange(std::move(exchange))
-    , m_machine(std::move(request), services.router.reserveWorkIds())
+    , m_firstWork(services.router.reserveWorkIds())
+    , m_machine(std::move(request), m_firstWork)
     , m_strand(boost::asio::make_strand(services.context))
     , m_timer(m_strand)
 {
@@ -37,11 +38,13 @@
 
 RequestDriver::~RequestDriver()
 {
+    m_services.router.removeOwner(m_firstWork);
     --m_services.activeRequests;
 }
 
 void RequestDriver::start()
 {
+    m_services.router.addOwner(m_firstWork, shared_from_this());
     m_exchange->onClosed([weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
             self->post([](RequestDriver &driver) { return driver.m_machine.onCallerGone(now()); });
@@ -82,7 +85,7 @@
 
 void RequestDriver::perform(const Pipeline::SubmitWork &action)
 {
-    m_services.router.submit(action.item, shared_from_this());
+    m_services.router.submit(action.item);
 }
 
 void RequestDriver::perform(const Pipeline::WithdrawWork &action)
--- a/src/app/cassiarelayd/requestdriver.h
+++ b/src/app/cassiarelayd/requestdriver.h
@@ -63,6 +63,7 @@
 
     RequestServices &m_services;
     Net::HttpExchangePointer m_exchange;
+    WorkId m_firstWork;
     Pipeline::RequestMachine m_machine;
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     boost::asio::steady_timer m_timer;
--- a/src/app/cassiarelayd/workrouter.cpp
+++ b/src/app/cassiarelayd/workrouter.cpp
@@ -11,6 +11,11 @@
     return std::chrono::steady_clock::now();
 }
 
+std::uint64_t blockOf(WorkId work)
+{
+    return work.value() / WORK_IDS_PER_REQUEST;
+}
+
 WorkId workOf(const Routing::Decision &decision)
 {
     return std::visit([](const auto &body) { return body.work; }, decision);
@@ -28,24 +33,30 @@
     return WorkId(m_nextBlock.fetch_add(1, std::memory_order_relaxed) * WORK_IDS_PER_REQUEST);
 }
 
-void WorkRouter::submit(const Routing::WorkItem &item, const std::shared_ptr<WorkOwner> &owner)
+void WorkRouter::addOwner(WorkId firstWork, const std::shared_ptr<WorkOwner> &owner)
+{
+    const std::lock_guard lock(m_mutex);
+    m_owners[blockOf(firstWork)] = owner;
+}
+
+void WorkRouter::removeOwner(WorkId firstWork)
+{
+    const std::lock_guard lock(m_mutex);
+    m_owners.erase(blockOf(firstWork));
+}
+
+void WorkRouter::submit(const Routing::WorkItem &item)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_owners[item.id] = owner;
-    }
     deliver(m_dispatcher.submit(item, now()));
 }
 
 void WorkRouter::finished(WorkId work, Routing::AttemptOutcome outcome, Duration serviceTime)
 {
-    forget(work);
     deliver(m_dispatcher.finished(work, outcome, serviceTime, now()));
 }
 
 void WorkRouter::withdraw(WorkId work)
 {
-    // The owner stays known: an assignment may be under way to it, and only it can give the slot back.
     deliver(m_dispatcher.withdraw(work, now()));
 }
 
@@ -62,28 +73,22 @@
 void WorkRouter::deliver(const Routing::Decisions &decisions)
 {
     for (const Routing::Decision &decision : decisions) {
-        const WorkId work = workOf(decision);
-        std::shared_ptr<WorkOwner> owner;
-        {
-            const std::lock_guard lock(m_mutex);
-            const auto found = m_owners.find(work);
-            owner = found == m_owners.end() ? nullptr : found->second.lock();
-        }
+        const std::shared_ptr<WorkOwner> owner = ownerOf(workOf(decision));
         if (owner) {
             owner->onDecision(decision);
-        } else if (std::holds_alternative<Routing::Assign>(decision)) {
-            finished(work, Routing::AttemptOutcome::Cancelled, Duration {});
+            continue;
         }
-        if (std::holds_alternative<Routing::Reject>(decision)) {
-            forget(work);
+        if (const auto *assign = std::get_if<Routing::Assign>(&decision)) {
+            finished(assign->work, Routing::AttemptOutcome::Cancelled, Duration {});
         }
     }
 }
 
-void WorkRouter::forget(WorkId work)
+std::shared_ptr<WorkOwner> WorkRouter::ownerOf(WorkId work)
 {
     const std::lock_guard lock(m_mutex);
-    m_owners.erase(work);
+    const auto found = m_owners.find(blockOf(work));
+    return found == m_owners.end() ? nullptr : found->second.lock();
 }
 
 } // namespace CassiaRelay::Daemon
--- a/src/app/cassiarelayd/workrouter.h
+++ b/src/app/cassiarelayd/workrouter.h
@@ -26,7 +26,11 @@
 
     /** First id of a block that no other request uses. */
     WorkId reserveWorkIds();
-    void submit(const Routing::WorkItem &item, const std::shared_ptr<WorkOwner> &owner);
+    /** Decisions about work of the block go to this owner. */
+    void addOwner(WorkId firstWork, const std::shared_ptr<WorkOwner> &owner);
+    /** Slots that are still assigned to the block are freed as soon as they are. */
+    void removeOwner(WorkId firstWork);
+    void submit(const Routing::WorkItem &item);
     void finished(WorkId work, Routing::AttemptOutcome outcome, Duration serviceTime);
     void withdraw(WorkId work);
     void adopt(std::shared_ptr<const Routing::TargetTable> table, std::shared_ptr<const Settings::FleetSettings> settings);
@@ -34,12 +38,12 @@
 
 private:
     void deliver(const Routing::Decisions &decisions);
-    void forget(WorkId work);
+    std::shared_ptr<WorkOwner> ownerOf(WorkId work);
 
     Routing::Dispatcher m_dispatcher;
     std::atomic<std::uint64_t> m_nextBlock { 1 };
     std::mutex m_mutex;
-    std::unordered_map<WorkId, std::weak_ptr<WorkOwner>> m_owners;
+    std::unordered_map<std::uint64_t, std::weak_ptr<WorkOwner>> m_owners; ///< by block
 };
 
 } // namespace CassiaRelay::Daemon
