Contract of FleetNode and peer messages for grants, leases, permits and quarantine

Cause: the other libraries are wired against these types while the decisions behind them are still being written. Change: schemas of the peer messages, shorter heartbeat fields, outputs and entry points of FleetNode. Claims and permits are refused until the decisions follow; tick takes the wall clock for keys that carry a time of issue.

--- a/src/app/cassiarelayd/controlplane.cpp
+++ b/src/app/cassiarelayd/controlplane.cpp
@@ -108,6 +108,7 @@
         std::visit(Overloaded {
                        [this](const Fleet::SendMessage &send) { m_mesh.send(send.to, send.message); },
                        [this](const Fleet::AdoptDocument &adopt) { publish(adopt.document); },
+                       [](const auto &) {},
                    },
                    output);
     }
@@ -134,7 +135,7 @@
 
 void ControlPlane::tick()
 {
-    perform(m_node.tick(std::chrono::steady_clock::now()));
+    perform(m_node.tick(std::chrono::steady_clock::now(), std::chrono::system_clock::now()));
     m_timer.expires_after(TICK_INTERVAL);
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
--- a/src/libs/fleet/fleet.h
+++ b/src/libs/fleet/fleet.h
@@ -6,7 +6,10 @@
  */
 
 #include "cell.h"
+#include "demand.h"
 #include "documentstore.h"
 #include "fleetnode.h"
 #include "grant.h"
 #include "output.h"
+#include "permit.h"
+#include "quarantinestate.h"
--- a/src/libs/fleet/fleetnode.cpp
+++ b/src/libs/fleet/fleetnode.cpp
@@ -39,11 +39,12 @@
                           [&](const Schema::DocumentReply &reply) {
                               return onDocument({ reply.key, reply.revision, reply.text }, now);
                           },
+                          [&](const auto &) { return Outputs {}; },
                       },
                       message);
 }
 
-Outputs FleetNode::tick(MonotonicTime now)
+Outputs FleetNode::tick(MonotonicTime now, WallTime /*wall*/)
 {
     if (now < m_nextHeartbeat) {
         return {};
@@ -59,6 +60,77 @@
     return outputs;
 }
 
+Outputs FleetNode::onPlatformAnswer(MonotonicTime /*now*/)
+{
+    return {};
+}
+
+Outputs FleetNode::claimGrant(const GrantClaim &claim, MonotonicTime /*now*/)
+{
+    return { GrantDecided { claim.id, GrantRefused { { ErrorKind::GrantUnavailable, Outcome::Unknown, "no grants yet", {} } } } };
+}
+
+Outputs FleetNode::finishGrant(ClaimId /*claim*/, GrantEnd /*end*/, const std::string & /*result*/, MonotonicTime /*now*/)
+{
+    return {};
+}
+
+Outputs FleetNode::requestPermit(const PermitRequest &request, MonotonicTime /*now*/)
+{
+    return { PermitDecided { request.work, request.target, false } };
+}
+
+Outputs FleetNode::returnPermit(WorkId /*work*/, const TargetId & /*target*/, bool /*succeeded*/, MonotonicTime /*now*/)
+{
+    return {};
+}
+
+void FleetNode::setDemand(std::vector<PoolDemand> /*demand*/)
+{
+}
+
+Outputs FleetNode::reportDeath(Fingerprint /*fingerprint*/, const TargetId & /*target*/, MonotonicTime /*now*/)
+{
+    return {};
+}
+
+Outputs FleetNode::reportSurvived(Fingerprint /*fingerprint*/, MonotonicTime /*now*/)
+{
+    return {};
+}
+
+Outputs FleetNode::beginDrain(MonotonicTime /*now*/)
+{
+    return {};
+}
+
+bool FleetNode::isDrained() const
+{
+    return true;
+}
+
+bool FleetNode::isReady(MonotonicTime /*now*/) const
+{
+    return true;
+}
+
+bool FleetNode::isIsolated(MonotonicTime /*now*/) const
+{
+    return false;
+}
+
+void FleetNode::setIsolationLimit(std::chrono::milliseconds /*limit*/)
+{
+}
+
+void FleetNode::setResendWindow(std::chrono::milliseconds /*window*/)
+{
+}
+
+void FleetNode::setGrantRetention(std::chrono::milliseconds /*retention*/)
+{
+}
+
 std::shared_ptr<const Cell> FleetNode::cell() const
 {
     return m_cell;
@@ -78,9 +150,9 @@
 {
     m_peers[from] = PeerState { Incarnation(static_cast<std::uint64_t>(heartbeat.incarnation)), now };
     Outputs outputs;
-    requestNewer(from, Schema::CONFIGURATION_KEY, heartbeat.configurationRevision, outputs);
-    requestNewer(from, Schema::VM_LIST_KEY, heartbeat.vmListRevision, outputs);
-    requestNewer(from, Schema::TARGET_LIST_KEY, heartbeat.targetListRevision, outputs);
+    requestNewer(from, Schema::CONFIGURATION_KEY, heartbeat.config, outputs);
+    requestNewer(from, Schema::VM_LIST_KEY, heartbeat.vms, outputs);
+    requestNewer(from, Schema::TARGET_LIST_KEY, heartbeat.targets, outputs);
     return outputs;
 }
 
@@ -106,9 +178,9 @@
 {
     Schema::Heartbeat heartbeat;
     heartbeat.incarnation = static_cast<std::int64_t>(m_incarnation.value());
-    heartbeat.configurationRevision = m_documents.revision(std::string(Schema::CONFIGURATION_KEY));
-    heartbeat.vmListRevision = m_documents.revision(std::string(Schema::VM_LIST_KEY));
-    heartbeat.targetListRevision = m_documents.revision(std::string(Schema::TARGET_LIST_KEY));
+    heartbeat.config = m_documents.revision(std::string(Schema::CONFIGURATION_KEY));
+    heartbeat.vms = m_documents.revision(std::string(Schema::VM_LIST_KEY));
+    heartbeat.targets = m_documents.revision(std::string(Schema::TARGET_LIST_KEY));
     return heartbeat;
 }
 
--- a/src/libs/fleet/fleetnode.h
+++ b/src/libs/fleet/fleetnode.h
@@ -3,6 +3,7 @@
 #include "cell.h"
 #include "documentstore.h"
 #include "output.h"
+#include "permit.h"
 
 #include <functional>
 #include <map>
@@ -27,9 +28,41 @@
 
     /** A document as the platform serves it; an older revision than the one in force is ignored. */
     Outputs onDocument(const Schema::Document &document, MonotonicTime now);
+    /** The platform answered a read or a watch, with or without news. */
+    Outputs onPlatformAnswer(MonotonicTime now);
     Outputs onMessage(const VmId &from, const Schema::PeerMessage &message, MonotonicTime now);
-    /** Sends heartbeats that are due. Call at least every 100 ms. */
-    Outputs tick(MonotonicTime now);
+    /** Sends what is due. Call at least every 100 ms; a longer gap counts as a pause of the process. */
+    Outputs tick(MonotonicTime now, WallTime wall);
+
+    /** Asks for the right to run a non-repeatable stage. */
+    Outputs claimGrant(const GrantClaim &claim, MonotonicTime now);
+    /** Ends a claim that was held; a result is kept for re-sends when it is small. */
+    Outputs finishGrant(ClaimId claim, GrantEnd end, const std::string &result, MonotonicTime now);
+
+    Outputs requestPermit(const PermitRequest &request, MonotonicTime now);
+    Outputs returnPermit(WorkId work, const TargetId &target, bool succeeded, MonotonicTime now);
+
+    void setDemand(std::vector<PoolDemand> demand);
+
+    /** The target died while it ran a request with this fingerprint. */
+    Outputs reportDeath(Fingerprint fingerprint, const TargetId &target, MonotonicTime now);
+    /** A request with this fingerprint ran to its end. */
+    Outputs reportSurvived(Fingerprint fingerprint, MonotonicTime now);
+
+    /** Hands over what this daemon holds for others. */
+    Outputs beginDrain(MonotonicTime now);
+    /** True when nothing is left to hand over. */
+    bool isDrained() const;
+
+    /** False until the documents of the peers have been asked for. */
+    bool isReady(MonotonicTime now) const;
+    /** True without contact to the platform and to half of the cell for longer than the limit: start nothing new. */
+    bool isIsolated(MonotonicTime now) const;
+    void setIsolationLimit(std::chrono::milliseconds limit);
+    /** How long a caller may send a key again that carries no time of issue. */
+    void setResendWindow(std::chrono::milliseconds window);
+    /** How long the outcome of a grant is kept. */
+    void setGrantRetention(std::chrono::milliseconds retention);
 
     std::shared_ptr<const Cell> cell() const;
     const DocumentStore &documents() const;
--- a/src/libs/fleet/output.h
+++ b/src/libs/fleet/output.h
@@ -1,8 +1,14 @@
 #pragma once
 
+#include "demand.h"
+#include "grant.h"
+#include "quarantinestate.h"
+
 #include <common/common.h>
 #include <schema/schema.h>
 
+#include <iterator>
+#include <map>
 #include <variant>
 #include <vector>
 
@@ -19,7 +25,37 @@
     Schema::Document document;
 };
 
-using Output = std::variant<SendMessage, AdoptDocument>;
+/** Answers a claim; each claim gets exactly one decision. */
+struct GrantDecided {
+    ClaimId claim;
+    GrantDecision decision;
+};
+
+/** Answers a permit request; each request gets exactly one decision. */
+struct PermitDecided {
+    WorkId work;
+    TargetId target;
+    bool granted = false;
+};
+
+/** Demand of all members, by pool; replaces what was said before. */
+struct DemandChanged {
+    std::map<PoolName, std::vector<MemberLoad>> demand;
+};
+
+/** A request body is suspected, refused or cleared from now on. */
+struct QuarantineChanged {
+    Fingerprint fingerprint;
+    QuarantineState state = QuarantineState::Clear;
+};
+
+using Output = std::variant<SendMessage, AdoptDocument, GrantDecided, PermitDecided, DemandChanged, QuarantineChanged>;
 using Outputs = std::vector<Output>;
 
+/** Moves the outputs of added to the end of outputs. */
+inline void append(Outputs &outputs, Outputs added)
+{
+    outputs.insert(outputs.end(), std::make_move_iterator(added.begin()), std::make_move_iterator(added.end()));
+}
+
 } // namespace CassiaRelay::Fleet
--- a/src/libs/schema/codec.cpp
+++ b/src/libs/schema/codec.cpp
@@ -16,6 +16,36 @@
 constexpr const char *KIND<DocumentRequest> = "documentRequest";
 template<>
 constexpr const char *KIND<DocumentReply> = "documentReply";
+template<>
+constexpr const char *KIND<ViewPull> = "viewPull";
+template<>
+constexpr const char *KIND<ViewAnswer> = "viewAnswer";
+template<>
+constexpr const char *KIND<ViewNews> = "viewNews";
+template<>
+constexpr const char *KIND<GrantRequest> = "grantRequest";
+template<>
+constexpr const char *KIND<GrantReply> = "grantReply";
+template<>
+constexpr const char *KIND<GrantRelease> = "grantRelease";
+template<>
+constexpr const char *KIND<GrantFinish> = "grantFinish";
+template<>
+constexpr const char *KIND<HolderQuery> = "holderQuery";
+template<>
+constexpr const char *KIND<HolderReply> = "holderReply";
+template<>
+constexpr const char *KIND<LeaseRequest> = "leaseRequest";
+template<>
+constexpr const char *KIND<LeaseReply> = "leaseReply";
+template<>
+constexpr const char *KIND<PermitAsk> = "permitAsk";
+template<>
+constexpr const char *KIND<PermitAnswer> = "permitAnswer";
+template<>
+constexpr const char *KIND<PermitReturn> = "permitReturn";
+template<>
+constexpr const char *KIND<QuarantineReport> = "quarantineReport";
 
 // Tries the alternatives one after the other until one has the kind of the message.
 template<std::size_t Index = 0>
--- a/src/libs/schema/codec.h
+++ b/src/libs/schema/codec.h
@@ -10,7 +10,25 @@
 namespace CassiaRelay::Schema {
 
 /** Every message between daemons; each alternative is a field of PeerMessages in the schema. */
-using PeerMessage = std::variant<Hello, Heartbeat, DocumentRequest, DocumentReply>;
+using PeerMessage = std::variant<Hello,
+                                 Heartbeat,
+                                 DocumentRequest,
+                                 DocumentReply,
+                                 ViewPull,
+                                 ViewAnswer,
+                                 ViewNews,
+                                 GrantRequest,
+                                 GrantReply,
+                                 GrantRelease,
+                                 GrantFinish,
+                                 HolderQuery,
+                                 HolderReply,
+                                 LeaseRequest,
+                                 LeaseReply,
+                                 PermitAsk,
+                                 PermitAnswer,
+                                 PermitReturn,
+                                 QuarantineReport>;
 
 /** CBOR form of a message. */
 std::string encode(const PeerMessage &message);
