--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -1,9 +1,10 @@
-// Stand-in for the platform's configuration service: GET with long poll, PUT by the test.
+// Stand-in for the platform's configuration service: GET with long poll, PUT, faults and read counts by the test.
 #include <net/net.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <iostream>
@@ -17,11 +18,28 @@
 
 constexpr std::string_view KEY_PATH = "/v1/kv/";
 
-struct Entry {
-    std::int64_t revision = 0;
+constexpr unsigned STATUS_BAD_REQUEST = 400;
+
+struct Revision {
+    std::int64_t number = 0;
     std::string text;
 };
 
+struct Entry {
+    Revision current;
+    Revision previous;
+};
+
+/** How reads are answered; PUT works in every mode. */
+enum class Mode {
+    Ok,
+    Stale, ///< the revision before the last one
+    Slow,
+    Down, ///< connections are cut
+};
+
+const std::map<std::string, Mode> MODES { { "ok", Mode::Ok }, { "stale", Mode::Stale }, { "slow", Mode::Slow }, { "down", Mode::Down } };
+
 /** A GET that waits for a revision other than the one it knows. */
 struct Watcher {
     std::string key;
@@ -41,6 +59,14 @@
     {
         const Net::HttpRequest &request = exchange->request();
         const std::string target(request.target());
+        if (target == "/fault") {
+            setFault(exchange);
+            return;
+        }
+        if (target == "/stats") {
+            exchange->respond({ 200, "application/json", nlohmann::json { { "reads", m_reads } }.dump(), {} });
+            return;
+        }
         if (target.compare(0, KEY_PATH.size(), KEY_PATH) != 0) {
             exchange->respond({ 404, "text/plain", "no such path\n", {} });
             return;
@@ -51,18 +77,70 @@
             put(key, request, exchange);
             return;
         }
-        get(key, query == std::string::npos ? std::string() : target.substr(query + 1), exchange);
+        read(key, query == std::string::npos ? std::string() : target.substr(query + 1), exchange);
     }
 
 private:
+    void setFault(const Net::HttpExchangePointer &exchange)
+    {
+        const nlohmann::json fault = nlohmann::json::parse(exchange->request().body(), nullptr, false);
+        const auto mode = fault.is_object() ? MODES.find(fault.value("mode", "")) : MODES.end();
+        if (mode == MODES.end()) {
+            exchange->respond({ STATUS_BAD_REQUEST, "text/plain", "mode is ok, stale, slow or down\n", {} });
+            return;
+        }
+        m_mode = mode->second;
+        m_delay = std::chrono::milliseconds(fault.value("delayMs", 0));
+        if (m_mode == Mode::Down || m_mode == Mode::Stale) {
+            cutWatchers();
+        }
+        exchange->respond({ 200, "application/json", "{}", {} });
+    }
+
+    void cutWatchers()
+    {
+        for (const Watcher &watcher : std::exchange(m_watchers, {})) {
+            watcher.timer->cancel();
+            watcher.exchange->abortAfterQueued();
+        }
+    }
+
+    void read(const std::string &key, const std::string &query, const Net::HttpExchangePointer &exchange)
+    {
+        ++m_reads;
+        if (m_mode == Mode::Down) {
+            exchange->abortAfterQueued();
+            return;
+        }
+        if (m_mode != Mode::Slow) {
+            get(key, query, exchange);
+            return;
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_delay);
+        timer->async_wait([this, timer, key, query, exchange](const boost::system::error_code &) { get(key, query, exchange); });
+    }
+
+    Revision visible(const std::string &key) const
+    {
+        const auto found = m_entries.find(key);
+        if (found == m_entries.end()) {
+            return {};
+        }
+        const bool old = m_mode == Mode::Stale && found->second.previous.number > 0;
+        return old ? found->second.previous : found->second.current;
+    }
+
     // The test sets the revision by a header, so that it can also publish an old one.
     void put(const std::string &key, const Net::HttpRequest &request, const Net::HttpExchangePointer &exchange)
     {
         Entry &entry = m_entries[key];
         const auto revision = request.find("Revision");
-        entry.revision = revision == request.end() ? entry.revision + 1 : std::stoll(std::string(revision->value()));
-        entry.text = request.body();
-        exchange->respond({ 200, "text/plain", std::to_string(entry.revision) + "\n", {} });
+        const std::int64_t number = revision == request.end() ? entry.current.number + 1 : std::stoll(std::string(revision->value()));
+        entry.previous = std::exchange(entry.current, Revision { number, request.body() });
+        exchange->respond({ 200, "text/plain", std::to_string(number) + "\n", {} });
+        if (m_mode == Mode::Stale) {
+            return;
+        }
         for (auto watcher = m_watchers.begin(); watcher != m_watchers.end();) {
             if (watcher->key != key) {
                 ++watcher;
@@ -77,8 +155,7 @@
     void get(const std::string &key, const std::string &query, const Net::HttpExchangePointer &exchange)
     {
         const std::int64_t known = number(query, "watch=");
-        const auto found = m_entries.find(key);
-        const std::int64_t current = found == m_entries.end() ? 0 : found->second.revision;
+        const std::int64_t current = visible(key).number;
         if (known == 0 || known != current) {
             answer(key, exchange);
             return;
@@ -97,12 +174,12 @@
 
     void answer(const std::string &key, const Net::HttpExchangePointer &exchange)
     {
-        const auto found = m_entries.find(key);
-        if (found == m_entries.end()) {
+        const Revision revision = visible(key);
+        if (revision.number == 0) {
             exchange->respond({ 404, "text/plain", "no such key\n", {} });
             return;
         }
-        exchange->respond({ 200, "application/json", found->second.text, { { "Revision", std::to_string(found->second.revision) } } });
+        exchange->respond({ 200, "application/json", revision.text, { { "Revision", std::to_string(revision.number) } } });
     }
 
     static std::int64_t number(const std::string &query, const std::string &name)
@@ -114,6 +191,9 @@
     boost::asio::io_context &m_context;
     std::map<std::string, Entry> m_entries;
     std::list<Watcher> m_watchers;
+    Mode m_mode = Mode::Ok;
+    std::chrono::milliseconds m_delay { 0 };
+    std::uint64_t m_reads = 0;
 };
 
 } // namespace
