Measure durations by organisation, class and stage

The registry knew counters only and looked each one up through a mutex on the path of a request. It now owns counters, gauges and histograms (Boost.Accumulators for sum, maximum and P-square quantiles, fixed buckets for Prometheus).

--- a/src/libs/metrics/registry.h
+++ b/src/libs/metrics/registry.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include <common/common.h>
+#include "histogram.h"
+#include "instruments.h"
 
-#include <atomic>
-#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace CassiaRelay::Metrics {
@@ -19,28 +19,41 @@
 };
 using Labels = std::vector<Label>;
 
-/** Counts up; safe from any thread. */
-class Counter
-{
-public:
-    void add(std::uint64_t amount = 1);
-    std::uint64_t value() const;
-
-private:
-    std::atomic<std::uint64_t> m_value { 0 };
+/** One histogram with its name and labels. */
+struct HistogramSample {
+    std::string name;
+    Labels labels;
+    HistogramSummary summary;
 };
 
-/** Owns every counter of the process. Look a counter up once and keep the reference. */
+/** Owns every instrument of the process. Look an instrument up once and keep the reference. */
 class Registry
 {
 public:
+    /** @throws Error when the name belongs to an instrument of another type */
     Counter &counter(const std::string &name, const Labels &labels = {});
+    Gauge &gauge(const std::string &name, const Labels &labels = {});
+    Histogram &histogram(const std::string &name, const Labels &labels = {});
+    /** Sets the HELP line of a name. */
+    void describe(const std::string &name, const std::string &help);
     /** Prometheus text format. */
     std::string text() const;
+    std::vector<HistogramSample> histograms() const;
 
 private:
+    using Instrument = std::variant<std::unique_ptr<Counter>, std::unique_ptr<Gauge>, std::unique_ptr<Histogram>>;
+    struct Series {
+        Labels labels;
+        Instrument instrument;
+    };
+    using Family = std::map<std::string, Series>; ///< by label text
+
+    template<typename Type>
+    Type &instrument(const std::string &name, const Labels &labels);
+
     mutable std::mutex m_mutex;
-    std::map<std::string, std::unique_ptr<Counter>> m_counters;
+    std::map<std::string, Family> m_families;
+    std::map<std::string, std::string> m_help;
 };
 
 } // namespace CassiaRelay::Metrics
