Add the contract of routing with stewards and grants; keep refusals true

Cause: non-repeatable stages ran without a grant, text of every generate stage reached the caller, and a refusal could say not_run although an earlier copy of the request, or an earlier stage, had run. Change: permit, quarantine, share and load-report calls of the dispatcher (pass-through so far); the request machine acquires a grant before each non-repeatable stage, ends it truthfully, replays stored results, and proves not_run of an idempotent request by holding its grant. Only the last generate stage is delivered. AttemptOutcome::Unreachable tells a target that was not reached from one that refused. The daemon grants permits and grants to itself until the fleet library is connected. Conclusion: outcome is not_run only where no copy can have run.

--- a/src/app/cassiarelayd/daemon.cpp
+++ b/src/app/cassiarelayd/daemon.cpp
@@ -39,7 +39,7 @@
 Daemon::Daemon(const Settings::ProcessSettings &settings)
     : m_incarnation(newIncarnation())
     , m_requestWork(boost::asio::make_work_guard(m_requestContext))
-    , m_router(m_incarnation.value())
+    , m_router(m_incarnation.value(), settings.vm, settings.failureDomain)
     , m_targetHttp(m_requestContext)
     , m_targets(m_targetHttp)
     , m_control(m_controlContext,
--- a/src/app/cassiarelayd/requestdriver.cpp
+++ b/src/app/cassiarelayd/requestdriver.cpp
@@ -62,6 +62,7 @@
             Overloaded {
                 [&driver](const Routing::Assign &assign) { return driver.m_machine.onAssigned(assign.work, assign.target, now()); },
                 [&driver](const Routing::Reject &reject) { return driver.m_machine.onRejected(reject.work, reject.refusal, now()); },
+                [](const auto & /*other*/) { return Pipeline::Actions {}; },
             },
             decision);
     });
@@ -135,6 +136,16 @@
     m_calls.erase(found);
 }
 
+// Without the cell's grants the daemon runs the stage on its own.
+void RequestDriver::perform(const Pipeline::AcquireGrant &action)
+{
+    post([deadline = action.deadline](RequestDriver &driver) { return driver.m_machine.onGrant(Fleet::GrantHeld { deadline }, now()); });
+}
+
+void RequestDriver::perform(const Pipeline::FinishGrant & /*action*/)
+{
+}
+
 void RequestDriver::perform(const Pipeline::DeliverText &action)
 {
     if (!m_machine.request().stream) {
--- a/src/app/cassiarelayd/requestdriver.h
+++ b/src/app/cassiarelayd/requestdriver.h
@@ -54,6 +54,8 @@
     void perform(const Pipeline::ReleaseWork &action);
     void perform(const Pipeline::SendAttempt &action);
     void perform(const Pipeline::CancelAttempt &action);
+    void perform(const Pipeline::AcquireGrant &action);
+    void perform(const Pipeline::FinishGrant &action);
     void perform(const Pipeline::DeliverText &action);
     void perform(const Pipeline::Answer &action);
     void perform(const Pipeline::Refuse &action);
--- a/src/app/cassiarelayd/workrouter.cpp
+++ b/src/app/cassiarelayd/workrouter.cpp
@@ -11,15 +11,10 @@
     return std::chrono::steady_clock::now();
 }
 
-WorkId workOf(const Routing::Decision &decision)
-{
-    return std::visit([](const auto &body) { return body.work; }, decision);
-}
-
 } // namespace
 
-WorkRouter::WorkRouter(std::uint64_t seed)
-    : m_dispatcher(seed)
+WorkRouter::WorkRouter(std::uint64_t seed, VmId self, FailureDomain failureDomain)
+    : m_dispatcher(seed, std::move(self), std::move(failureDomain))
 {
 }
 
@@ -62,24 +57,52 @@
 void WorkRouter::deliver(const Routing::Decisions &decisions)
 {
     for (const Routing::Decision &decision : decisions) {
-        const WorkId work = workOf(decision);
-        std::shared_ptr<WorkOwner> owner;
-        {
-            const std::lock_guard lock(m_mutex);
-            const auto found = m_owners.find(work);
-            owner = found == m_owners.end() ? nullptr : found->second.lock();
-        }
-        if (owner) {
-            owner->onDecision(decision);
-        } else if (std::holds_alternative<Routing::Assign>(decision)) {
-            finished(work, Routing::AttemptOutcome::Cancelled, Duration {});
-        }
-        if (std::holds_alternative<Routing::Reject>(decision)) {
-            forget(work);
-        }
+        std::visit([this](const auto &body) { perform(body); }, decision);
+    }
+}
+
+void WorkRouter::perform(const Routing::Assign &assign)
+{
+    if (const auto owner = ownerOf(assign.work)) {
+        owner->onDecision(assign);
+    } else {
+        finished(assign.work, Routing::AttemptOutcome::Cancelled, Duration {});
     }
 }
 
+void WorkRouter::perform(const Routing::Reject &reject)
+{
+    if (const auto owner = ownerOf(reject.work)) {
+        owner->onDecision(reject);
+    }
+    forget(reject.work);
+}
+
+// Without a steward each daemon bounds the work on a cold target for itself.
+void WorkRouter::perform(const Routing::NeedPermit &need)
+{
+    deliver(m_dispatcher.onPermit(need.work, need.target, true, now()));
+}
+
+void WorkRouter::perform(const Routing::ReturnPermit & /*permit*/)
+{
+}
+
+void WorkRouter::perform(const Routing::ReportDeath & /*report*/)
+{
+}
+
+void WorkRouter::perform(const Routing::ReportSurvived & /*report*/)
+{
+}
+
+std::shared_ptr<WorkOwner> WorkRouter::ownerOf(WorkId work)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_owners.find(work);
+    return found == m_owners.end() ? nullptr : found->second.lock();
+}
+
 void WorkRouter::forget(WorkId work)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/app/cassiarelayd/workrouter.h
+++ b/src/app/cassiarelayd/workrouter.h
@@ -22,7 +22,7 @@
 class WorkRouter
 {
 public:
-    explicit WorkRouter(std::uint64_t seed);
+    WorkRouter(std::uint64_t seed, VmId self, FailureDomain failureDomain);
 
     /** First id of a block that no other request uses. */
     WorkId reserveWorkIds();
@@ -34,6 +34,13 @@
 
 private:
     void deliver(const Routing::Decisions &decisions);
+    std::shared_ptr<WorkOwner> ownerOf(WorkId work);
+    void perform(const Routing::Assign &assign);
+    void perform(const Routing::Reject &reject);
+    void perform(const Routing::NeedPermit &need);
+    void perform(const Routing::ReturnPermit &permit);
+    void perform(const Routing::ReportDeath &report);
+    void perform(const Routing::ReportSurvived &report);
     void forget(WorkId work);
 
     Routing::Dispatcher m_dispatcher;
--- a/src/libs/net/targetclient.cpp
+++ b/src/libs/net/targetclient.cpp
@@ -19,7 +19,7 @@
 {
     switch (failure) {
     case CallFailure::NotSent:
-        return AttemptOutcome::Refused;
+        return AttemptOutcome::Unreachable;
     case CallFailure::ConnectionLost:
         return AttemptOutcome::ConnectionLost;
     case CallFailure::TimedOut:
--- a/src/libs/pipeline/action.h
+++ b/src/libs/pipeline/action.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <common/common.h>
+#include <fleet/fleet.h>
 #include <routing/routing.h>
 #include <settings/settings.h>
 
@@ -40,6 +41,8 @@
     Schema::StageKind kind = Schema::StageKind::Call;
     MonotonicTime deadline;
     bool repeatable = true;
+    /** Checked again immediately before the first byte is written; too late is AttemptOutcome::Unreachable. */
+    MonotonicTime sendBefore;
 };
 
 /** Ends a call whose answer is no longer wanted. */
@@ -47,6 +50,19 @@
     AttemptId attempt;
 };
 
+/** Asks the cell for the right to run a non-repeatable stage; answered by RequestMachine::onGrant. */
+struct AcquireGrant {
+    Fleet::GrantKey key;
+    Fingerprint fingerprint;
+    MonotonicTime deadline;
+};
+
+/** Ends the grant that was held. */
+struct FinishGrant {
+    Fleet::GrantEnd end = Fleet::GrantEnd::Unknown;
+    std::string result; ///< JSON text when it succeeded
+};
+
 /** Hands the next part of the answer to a streaming caller. */
 struct DeliverText {
     std::string text;
@@ -68,7 +84,17 @@
     MonotonicTime at;
 };
 
-using Action = std::variant<SubmitWork, WithdrawWork, ReleaseWork, SendAttempt, CancelAttempt, DeliverText, Answer, Refuse, ArmTimer>;
+using Action = std::variant<SubmitWork,
+                            WithdrawWork,
+                            ReleaseWork,
+                            SendAttempt,
+                            CancelAttempt,
+                            AcquireGrant,
+                            FinishGrant,
+                            DeliverText,
+                            Answer,
+                            Refuse,
+                            ArmTimer>;
 using Actions = std::vector<Action>;
 
 } // namespace CassiaRelay::Pipeline
--- a/src/libs/pipeline/requestmachine.cpp
+++ b/src/libs/pipeline/requestmachine.cpp
@@ -9,6 +9,12 @@
 namespace {
 
 constexpr int MAX_ATTEMPTS = 3;
+constexpr std::chrono::milliseconds PROOF_TIMEOUT { 500 };
+
+void append(Actions &actions, Actions more)
+{
+    std::move(more.begin(), more.end(), std::back_inserter(actions));
+}
 
 } // namespace
 
@@ -20,7 +26,7 @@
 
 Actions RequestMachine::start(MonotonicTime now)
 {
-    Actions actions = submitStage(now);
+    Actions actions = startStage(now);
     actions.push_back(ArmTimer { m_request.deadline });
     return actions;
 }
@@ -31,21 +37,22 @@
         return { ReleaseWork { work, Routing::AttemptOutcome::Cancelled, Duration {} } };
     }
     m_waiting.reset();
-    if (now >= m_request.deadline) {
+    const MonotonicTime sendBefore = stage().repeatable ? m_request.deadline : std::min(m_request.deadline, m_startBefore);
+    if (now >= sendBefore) {
         Actions actions { ReleaseWork { work, Routing::AttemptOutcome::Cancelled, Duration {} } };
-        const Actions more = refuse({ ErrorKind::DeadlineExceeded, currentOutcome(), "no target was free in time", {} }, now);
-        actions.insert(actions.end(), more.begin(), more.end());
+        const ErrorKind kind = now >= m_request.deadline ? ErrorKind::DeadlineExceeded : ErrorKind::GrantUnavailable;
+        append(actions, refuse({ kind, Outcome::NotRun, "no target was free in time", {} }, now));
         return actions;
     }
     ++m_attempts;
     const AttemptId id(m_request.id.value() + "." + std::to_string(work.value()));
     m_running = Attempt { id, work, target, now };
-    m_nonRepeatableSent = m_nonRepeatableSent || !stage().repeatable;
-    SendAttempt send { id, target, stage().path, {}, stage().kind, m_request.deadline, stage().repeatable };
+    m_mayHaveRun = m_mayHaveRun || !stage().repeatable;
+    SendAttempt send { id, target, stage().path, {}, stage().kind, m_request.deadline, stage().repeatable, sendBefore };
     if (stage().timeout) {
         send.deadline = std::min(send.deadline, now + *stage().timeout);
     }
-    send.body = stage().kind == Schema::StageKind::Generate ? generateBody(m_request, stage(), m_results, id.value(), m_text)
+    send.body = stage().kind == Schema::StageKind::Generate ? generateBody(m_request, stage(), m_results, id.value(), m_stageText)
                                                             : callBody(m_request, stage(), m_results);
     return { std::move(send) };
 }
@@ -56,9 +63,7 @@
         return {};
     }
     m_waiting.reset();
-    Refusal answer = refusal;
-    answer.outcome = currentOutcome();
-    return refuse(std::move(answer), now);
+    return refuse(refusal, now);
 }
 
 Actions RequestMachine::onText(const AttemptId &attempt, std::uint64_t offset, const std::string &text, MonotonicTime now)
@@ -66,17 +71,17 @@
     if (!isCurrent(attempt)) {
         return {};
     }
-    if (offset > m_text.size()) {
+    if (offset > m_stageText.size()) {
         return onFailed(attempt, { Routing::AttemptOutcome::Failed, "the target left out a part of the answer" }, now);
     }
     // A target that resumed earlier than asked repeats what the caller already has.
-    const std::uint64_t known = m_text.size() - offset;
+    const std::uint64_t known = m_stageText.size() - offset;
     if (known >= text.size()) {
         return {};
     }
     const std::string fresh = text.substr(known);
-    m_text += fresh;
-    return { DeliverText { fresh } };
+    m_stageText += fresh;
+    return isAnswerStage() ? Actions { DeliverText { fresh } } : Actions {};
 }
 
 Actions RequestMachine::onSucceeded(const AttemptId &attempt, nlohmann::json result, MonotonicTime now)
@@ -86,8 +91,7 @@
     }
     Actions actions;
     finishAttempt(Routing::AttemptOutcome::Succeeded, now, actions);
-    Actions more = finishStage(std::move(result), now);
-    std::move(more.begin(), more.end(), std::back_inserter(actions));
+    append(actions, finishStage(std::move(result), now));
     return actions;
 }
 
@@ -99,18 +103,34 @@
     Actions actions;
     m_failedTarget = m_running->target;
     finishAttempt(failure.outcome, now, actions);
-    Actions more = retryOrRefuse(failure, now);
-    std::move(more.begin(), more.end(), std::back_inserter(actions));
+    append(actions, retryOrRefuse(failure, now));
     return actions;
 }
 
+Actions RequestMachine::onGrant(const Fleet::GrantDecision &decision, MonotonicTime now)
+{
+    if (m_grant != GrantState::Asked) {
+        return {};
+    }
+    m_grant = GrantState::None;
+    return std::visit(Overloaded {
+                          [&](const Fleet::GrantHeld &held) { return onGrantHeld(held, now); },
+                          [&](const Fleet::GrantReplayed &replayed) { return onGrantReplayed(replayed, now); },
+                          [&](const Fleet::GrantRefused &refused) { return onGrantRefused(refused, now); },
+                      },
+                      decision);
+}
+
 Actions RequestMachine::onTimer(MonotonicTime now)
 {
     if (m_finished || now < m_request.deadline) {
         return {};
     }
-    return refuse({ ErrorKind::DeadlineExceeded, currentOutcome(), "stage " + stage().name.value() + " was not finished in time", {} },
-                  now);
+    if (m_unproven) {
+        m_ranElsewhere = true;
+        return finish(*std::exchange(m_unproven, std::nullopt));
+    }
+    return refuse({ ErrorKind::DeadlineExceeded, Outcome::NotRun, "stage " + stage().name.value() + " was not finished in time", {} }, now);
 }
 
 Actions RequestMachine::onCallerGone(MonotonicTime now)
@@ -118,7 +138,9 @@
     if (m_finished) {
         return {};
     }
-    return refuse({ ErrorKind::CallerGone, currentOutcome(), "the caller closed the connection", {} }, now);
+    // Nobody reads the answer, so it needs no proof.
+    m_ranElsewhere = true;
+    return refuse({ ErrorKind::CallerGone, Outcome::NotRun, "the caller closed the connection", {} }, now);
 }
 
 const CallerRequest &RequestMachine::request() const
@@ -141,7 +163,27 @@
     return m_running && m_running->id == attempt;
 }
 
-Actions RequestMachine::submitStage(MonotonicTime /*now*/)
+// The text of earlier generate stages is input of later ones, not part of the answer.
+bool RequestMachine::isAnswerStage() const
+{
+    const auto &stages = m_request.pipeline.stages;
+    const auto isGenerate = [](const Settings::StageSettings &later) { return later.kind == Schema::StageKind::Generate; };
+    return isGenerate(stage()) && std::none_of(stages.begin() + static_cast<std::ptrdiff_t>(m_stage) + 1, stages.end(), isGenerate);
+}
+
+Actions RequestMachine::startStage(MonotonicTime /*now*/)
+{
+    return stage().repeatable ? submitStage() : acquireGrant(stage(), m_request.deadline);
+}
+
+Actions RequestMachine::submitStage()
+{
+    Routing::WorkItem item = workItem();
+    m_waiting = item.id;
+    return { SubmitWork { std::move(item) } };
+}
+
+Routing::WorkItem RequestMachine::workItem()
 {
     Routing::WorkItem item;
     item.id = WorkId(m_nextWork++);
@@ -154,67 +196,202 @@
     item.repeatable = stage().repeatable;
     item.attempt = m_attempts;
     item.avoid = m_failedTarget;
-    m_waiting = item.id;
-    return { SubmitWork { std::move(item) } };
+    for (std::size_t next = m_stage + 1; next < m_request.pipeline.stages.size(); ++next) {
+        const Settings::StageSettings &later = m_request.pipeline.stages[next];
+        item.later.push_back({ later.pool, later.priorityClass });
+    }
+    return item;
+}
+
+Actions RequestMachine::acquireGrant(const Settings::StageSettings &wanted, MonotonicTime deadline)
+{
+    m_grant = GrantState::Asked;
+    const Fleet::GrantKey key { m_request.organisation, m_request.idempotencyKey.value_or(std::string()), wanted.name };
+    return { AcquireGrant { key, m_request.fingerprint, deadline } };
+}
+
+Actions RequestMachine::onGrantHeld(const Fleet::GrantHeld &held, MonotonicTime now)
+{
+    m_grant = GrantState::Held;
+    m_startBefore = held.startBefore;
+    if (m_finished || m_unproven) {
+        Actions actions;
+        finishGrant(Fleet::GrantEnd::NotRun, actions);
+        if (!m_finished) {
+            append(actions, finish(*std::exchange(m_unproven, std::nullopt)));
+        }
+        return actions;
+    }
+    if (now >= m_request.deadline) {
+        return onTimer(now);
+    }
+    return submitStage();
+}
+
+Actions RequestMachine::onGrantReplayed(const Fleet::GrantReplayed &replayed, MonotonicTime now)
+{
+    if (m_finished) {
+        return {};
+    }
+    if (m_unproven) {
+        m_ranElsewhere = true;
+        return finish(*std::exchange(m_unproven, std::nullopt));
+    }
+    nlohmann::json result = nlohmann::json::parse(replayed.result, nullptr, false);
+    if (result.is_discarded()) {
+        m_ranElsewhere = true;
+        return refuse(
+            { ErrorKind::OutcomeUnknown, Outcome::Unknown, "the stored result of stage " + stage().name.value() + " is damaged", {} }, now);
+    }
+    if (stage().kind != Schema::StageKind::Generate || !result.is_string()) {
+        return finishStage(std::move(result), now);
+    }
+    m_stageText = result.get<std::string>();
+    Actions actions;
+    if (isAnswerStage()) {
+        actions.push_back(DeliverText { m_stageText });
+    }
+    append(actions, finishStage(std::move(result), now));
+    return actions;
+}
+
+Actions RequestMachine::onGrantRefused(const Fleet::GrantRefused &refused, MonotonicTime now)
+{
+    if (m_finished) {
+        return {};
+    }
+    m_ranElsewhere = refused.refusal.outcome == Outcome::Unknown;
+    if (m_unproven) {
+        // Only a held grant proves that no earlier copy has run.
+        m_ranElsewhere = true;
+        return finish(*std::exchange(m_unproven, std::nullopt));
+    }
+    Actions actions;
+    stopWork(Routing::AttemptOutcome::Cancelled, now, actions);
+    append(actions, finish(refused.refusal));
+    return actions;
+}
+
+void RequestMachine::finishGrant(Fleet::GrantEnd end, Actions &actions, std::string result)
+{
+    if (m_grant != GrantState::Held) {
+        return;
+    }
+    m_grant = GrantState::None;
+    actions.push_back(FinishGrant { end, std::move(result) });
 }
 
 void RequestMachine::finishAttempt(Routing::AttemptOutcome outcome, MonotonicTime now, Actions &actions)
 {
+    using Routing::AttemptOutcome;
+    // A target that refused the work, or was not reached, has not run it.
+    if (outcome == AttemptOutcome::Refused || outcome == AttemptOutcome::Unreachable) {
+        m_mayHaveRun = false;
+    }
     actions.push_back(ReleaseWork { m_running->work, outcome, now - m_running->startedAt });
     m_running.reset();
 }
 
 Actions RequestMachine::retryOrRefuse(const AttemptFailure &failure, MonotonicTime now)
 {
-    // A target that refused the work has not run it, so even a non-repeatable stage may go elsewhere.
-    const bool mayRepeat = stage().repeatable || failure.outcome == Routing::AttemptOutcome::Refused;
-    if (!mayRepeat) {
-        return refuse({ ErrorKind::OutcomeUnknown, Outcome::Unknown, "stage " + stage().name.value() + ": " + failure.detail, {} }, now);
+    const std::string detail = "stage " + stage().name.value() + ": " + failure.detail;
+    if (m_mayHaveRun) {
+        return refuse({ ErrorKind::OutcomeUnknown, Outcome::Unknown, detail, {} }, now);
     }
-    if (m_attempts >= MAX_ATTEMPTS || now >= m_request.deadline) {
-        return refuse({ ErrorKind::StageFailed, currentOutcome(), "stage " + stage().name.value() + ": " + failure.detail, {} }, now);
+    const bool tooLate = now >= m_request.deadline || (!stage().repeatable && now >= m_startBefore);
+    if (m_attempts >= MAX_ATTEMPTS || tooLate) {
+        return refuse({ ErrorKind::StageFailed, Outcome::NotRun, detail, {} }, now);
     }
-    return submitStage(now);
+    return submitStage();
 }
 
 Actions RequestMachine::finishStage(nlohmann::json result, MonotonicTime now)
 {
     if (stage().kind == Schema::StageKind::Generate) {
-        m_results[stage().name.value()] = m_text;
-    } else {
-        m_results[stage().name.value()] = std::move(result);
+        result = m_stageText;
+        m_answerText = std::exchange(m_stageText, std::string());
     }
+    Actions actions;
+    if (!stage().repeatable) {
+        finishGrant(Fleet::GrantEnd::Succeeded, actions, result.dump());
+        m_doneNonRepeatable.push_back(stage().name);
+        m_mayHaveRun = false;
+    }
+    m_results[stage().name.value()] = std::move(result);
     m_attempts = 0;
     m_failedTarget.reset();
     if (m_stage + 1 < m_request.pipeline.stages.size()) {
         ++m_stage;
-        return submitStage(now);
+        append(actions, startStage(now));
+        return actions;
     }
     m_finished = true;
-    return { Answer { m_results, m_text } };
+    actions.push_back(Answer { m_results, m_answerText });
+    return actions;
 }
 
 Actions RequestMachine::refuse(Refusal refusal, MonotonicTime now)
 {
     Actions actions;
+    const bool late = refusal.kind == ErrorKind::DeadlineExceeded;
+    stopWork(late ? Routing::AttemptOutcome::TimedOut : Routing::AttemptOutcome::Cancelled, now, actions);
+    const bool wasHeld = m_grant == GrantState::Held;
+    finishGrant(m_mayHaveRun ? Fleet::GrantEnd::Unknown : Fleet::GrantEnd::NotRun, actions);
+    // The cell may still grant what was asked for, but this machine gives it back unused.
+    const bool isProven = wasHeld || m_mayHaveRun || m_ranElsewhere || !m_doneNonRepeatable.empty();
+    if (isProven || !m_request.pipeline.needsIdempotencyKey()) {
+        append(actions, finish(std::move(refusal)));
+        return actions;
+    }
+    append(actions, proveNotRun(std::move(refusal), now));
+    return actions;
+}
+
+/**
+ * The caller may have sent the same key before, and that copy may have got further than this one.
+ * The grant of the first non-repeatable stage tells: whoever holds it knows that no copy has run.
+ */
+Actions RequestMachine::proveNotRun(Refusal refusal, MonotonicTime now)
+{
+    if (m_grant == GrantState::Asked || now >= m_request.deadline) {
+        m_ranElsewhere = true;
+        return finish(std::move(refusal));
+    }
+    m_unproven = std::move(refusal);
+    const auto &stages = m_request.pipeline.stages;
+    const auto first = std::find_if(stages.begin(), stages.end(), [](const Settings::StageSettings &entry) { return !entry.repeatable; });
+    m_request.deadline = std::min(m_request.deadline, now + PROOF_TIMEOUT);
+    Actions actions = acquireGrant(*first, m_request.deadline);
+    actions.push_back(ArmTimer { m_request.deadline });
+    return actions;
+}
+
+void RequestMachine::stopWork(Routing::AttemptOutcome outcome, MonotonicTime now, Actions &actions)
+{
     if (m_waiting) {
         actions.push_back(WithdrawWork { *m_waiting });
         m_waiting.reset();
     }
     if (m_running) {
         actions.push_back(CancelAttempt { m_running->id });
-        finishAttempt(refusal.kind == ErrorKind::DeadlineExceeded ? Routing::AttemptOutcome::TimedOut : Routing::AttemptOutcome::Cancelled,
-                      now,
-                      actions);
+        finishAttempt(outcome, now, actions);
     }
+}
+
+Actions RequestMachine::finish(Refusal refusal)
+{
     m_finished = true;
-    actions.push_back(Refuse { std::move(refusal) });
-    return actions;
+    return { Refuse { truthful(std::move(refusal)) } };
 }
 
-Outcome RequestMachine::currentOutcome() const
+Refusal RequestMachine::truthful(Refusal refusal) const
 {
-    return m_nonRepeatableSent ? Outcome::Unknown : Outcome::NotRun;
+    const bool mayHaveRun = m_mayHaveRun || m_ranElsewhere || !m_doneNonRepeatable.empty();
+    refusal.outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+    for (const StageName &done : m_doneNonRepeatable) {
+        refusal.detail += "; stage " + done.value() + " succeeded and will not run again under this idempotency key";
+    }
+    return refusal;
 }
 
 } // namespace CassiaRelay::Pipeline
--- a/src/libs/pipeline/requestmachine.h
+++ b/src/libs/pipeline/requestmachine.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace CassiaRelay::Pipeline {
 
@@ -32,6 +33,7 @@
     Actions onText(const AttemptId &attempt, std::uint64_t offset, const std::string &text, MonotonicTime now);
     Actions onSucceeded(const AttemptId &attempt, nlohmann::json result, MonotonicTime now);
     Actions onFailed(const AttemptId &attempt, const AttemptFailure &failure, MonotonicTime now);
+    Actions onGrant(const Fleet::GrantDecision &decision, MonotonicTime now);
     Actions onTimer(MonotonicTime now);
     Actions onCallerGone(MonotonicTime now);
 
@@ -46,14 +48,32 @@
         MonotonicTime startedAt;
     };
 
+    /** What the machine knows of the grant of its current non-repeatable stage. */
+    enum class GrantState {
+        None,
+        Asked,
+        Held,
+    };
+
     const Settings::StageSettings &stage() const;
     bool isCurrent(const AttemptId &attempt) const;
-    Actions submitStage(MonotonicTime now);
+    bool isAnswerStage() const;
+    Actions startStage(MonotonicTime now);
+    Actions submitStage();
+    Routing::WorkItem workItem();
+    Actions acquireGrant(const Settings::StageSettings &stage, MonotonicTime deadline);
+    Actions onGrantHeld(const Fleet::GrantHeld &held, MonotonicTime now);
+    Actions onGrantReplayed(const Fleet::GrantReplayed &replayed, MonotonicTime now);
+    Actions onGrantRefused(const Fleet::GrantRefused &refused, MonotonicTime now);
+    void finishGrant(Fleet::GrantEnd end, Actions &actions, std::string result = {});
     void finishAttempt(Routing::AttemptOutcome outcome, MonotonicTime now, Actions &actions);
     Actions retryOrRefuse(const AttemptFailure &failure, MonotonicTime now);
     Actions finishStage(nlohmann::json result, MonotonicTime now);
     Actions refuse(Refusal refusal, MonotonicTime now);
-    Outcome currentOutcome() const;
+    Actions proveNotRun(Refusal refusal, MonotonicTime now);
+    void stopWork(Routing::AttemptOutcome outcome, MonotonicTime now, Actions &actions);
+    Actions finish(Refusal refusal);
+    Refusal truthful(Refusal refusal) const;
 
     CallerRequest m_request;
     std::uint64_t m_nextWork;
@@ -63,8 +83,15 @@
     std::optional<Attempt> m_running;
     std::optional<TargetId> m_failedTarget;
     nlohmann::json m_results = nlohmann::json::object();
-    std::string m_text; ///< of the current or last generate stage
-    bool m_nonRepeatableSent = false;
+    std::string m_stageText;  ///< of the current generate stage
+    std::string m_answerText; ///< of the last generate stage of the pipeline
+    GrantState m_grant = GrantState::None;
+    MonotonicTime m_startBefore; ///< of the held grant
+    /** A refusal that waits for the cell to say whether an earlier copy of the request has run. */
+    std::optional<Refusal> m_unproven;
+    bool m_mayHaveRun = false;                  ///< the current non-repeatable stage was sent and not refused
+    bool m_ranElsewhere = false;                ///< an earlier copy may have run, or may be running
+    std::vector<StageName> m_doneNonRepeatable; ///< succeeded, here or in an earlier copy
     bool m_finished = false;
 };
 
--- a/src/libs/routing/decision.h
+++ b/src/libs/routing/decision.h
@@ -21,7 +21,41 @@
     Refusal refusal;
 };
 
-using Decision = std::variant<Assign, Reject>;
+/** Asks the steward of a target that is not warm whether the work may run there; answered by Dispatcher::onPermit. */
+struct NeedPermit {
+    WorkId work;
+    TargetId target;
+    Incarnation incarnation;
+    int bound = 0; ///< concurrent work that the target bears when freshly started
+    MonotonicTime deadline;
+};
+
+/** The work that had a permit has ended, or never started. */
+struct ReturnPermit {
+    WorkId work;
+    TargetId target;
+    bool succeeded = false;
+};
+
+/** The target died while it ran a request with this fingerprint. */
+struct ReportDeath {
+    Fingerprint fingerprint;
+    TargetId target;
+};
+
+/** A suspected request ended without harm to its target. */
+struct ReportSurvived {
+    Fingerprint fingerprint;
+};
+
+using Decision = std::variant<Assign, Reject, NeedPermit, ReturnPermit, ReportDeath, ReportSurvived>;
 using Decisions = std::vector<Decision>;
 
+/** What the cell knows of a request that was aboard a target that died. */
+enum class QuarantineState {
+    Cleared,
+    Suspect,     ///< runs alone on a target
+    Quarantined, ///< is refused
+};
+
 } // namespace CassiaRelay::Routing
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -4,8 +4,10 @@
 
 namespace CassiaRelay::Routing {
 
-Dispatcher::Dispatcher(std::uint64_t seed)
-    : m_random(seed)
+Dispatcher::Dispatcher(std::uint64_t seed, VmId self, FailureDomain failureDomain)
+    : m_self(std::move(self))
+    , m_failureDomain(std::move(failureDomain))
+    , m_random(seed)
     , m_table(std::make_shared<const TargetTable>())
 {
 }
@@ -74,6 +76,41 @@
     return decisions;
 }
 
+Decisions Dispatcher::onPermit(WorkId /*work*/, const TargetId & /*target*/, bool /*granted*/, MonotonicTime /*now*/)
+{
+    return {};
+}
+
+Decisions Dispatcher::onLoadReport(const TargetId & /*target*/, const LoadReport & /*report*/, MonotonicTime /*now*/)
+{
+    return {};
+}
+
+Decisions Dispatcher::onQuarantine(Fingerprint /*fingerprint*/, QuarantineState /*state*/, MonotonicTime /*now*/)
+{
+    return {};
+}
+
+void Dispatcher::adoptShares(DemandShares shares)
+{
+    const std::lock_guard lock(m_mutex);
+    m_shares = std::move(shares);
+}
+
+std::vector<PoolDemand> Dispatcher::demand()
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<PoolDemand> demand;
+    for (const auto &[pool, waiting] : m_waiting) {
+        double running = 0;
+        for (const TargetId &target : m_table->pool(pool)) {
+            running += m_inFlight[target];
+        }
+        demand.push_back({ pool, running + static_cast<double>(waiting.size()) });
+    }
+    return demand;
+}
+
 Decisions Dispatcher::startWaiting(const PoolName &pool, MonotonicTime now)
 {
     Decisions decisions;
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decision.h"
+#include "loadreport.h"
 #include "targettable.h"
 #include "workitem.h"
 
@@ -19,7 +20,8 @@
 class Dispatcher
 {
 public:
-    explicit Dispatcher(std::uint64_t seed);
+    /** @param failureDomain where this daemon runs; its targets are preferred */
+    Dispatcher(std::uint64_t seed, VmId self, FailureDomain failureDomain);
 
     /** Takes over a new target table; waiting work is judged anew. */
     Decisions adopt(std::shared_ptr<const TargetTable> table, std::shared_ptr<const Settings::FleetSettings> settings, MonotonicTime now);
@@ -31,6 +33,14 @@
     Decisions withdraw(WorkId work, MonotonicTime now);
     /** Rejects what can no longer be done in time. Call every few milliseconds. */
     Decisions tick(MonotonicTime now);
+    /** The steward's answer to NeedPermit. */
+    Decisions onPermit(WorkId work, const TargetId &target, bool granted, MonotonicTime now);
+    Decisions onLoadReport(const TargetId &target, const LoadReport &report, MonotonicTime now);
+    /** What the cell has found out about a request that was aboard a dead target. */
+    Decisions onQuarantine(Fingerprint fingerprint, QuarantineState state, MonotonicTime now);
+    void adoptShares(DemandShares shares);
+    /** Running and waiting work by pool, for the other daemons of the cell. */
+    std::vector<PoolDemand> demand();
 
 private:
     struct Running {
@@ -41,6 +51,9 @@
     std::optional<TargetId> chooseTarget(const WorkItem &item);
 
     std::mutex m_mutex;
+    VmId m_self;
+    FailureDomain m_failureDomain;
+    DemandShares m_shares;
     RandomSource m_random;
     std::shared_ptr<const TargetTable> m_table;
     std::shared_ptr<const Settings::FleetSettings> m_settings;
--- a/src/libs/routing/loadreport.h
+++ b/src/libs/routing/loadreport.h
@@ -22,6 +22,12 @@
     bool heard = false; ///< within the last heartbeats
 };
 
+/** Running and waiting work of this daemon in one pool. */
+struct PoolDemand {
+    PoolName pool;
+    double demand = 0;
+};
+
 /** By which the daemons of a cell divide the limits of warm targets among themselves. */
 struct DemandShares {
     VmId self;
--- a/src/libs/routing/workitem.h
+++ b/src/libs/routing/workitem.h
@@ -3,9 +3,16 @@
 #include <common/common.h>
 
 #include <optional>
+#include <vector>
 
 namespace CassiaRelay::Routing {
 
+/** A stage that a request still has before it. */
+struct LaterStage {
+    PoolName pool;
+    int priorityClass = 0;
+};
+
 /** One stage of one request that wants a slot on a target. */
 struct WorkItem {
     WorkId id;
@@ -21,6 +28,8 @@
     int attempt = 0;
     /** The target that failed the last attempt; chosen again only when there is no other. */
     std::optional<TargetId> avoid;
+    /** Stages after this one, whose time the deadline must leave. */
+    std::vector<LaterStage> later;
 };
 
 /** How an attempt on a target ended. */
@@ -28,6 +37,7 @@
     Succeeded,
     Failed,         ///< the target answered with an error
     Refused,        ///< the target turned the work away before it ran
+    Unreachable,    ///< no connection to the target: nothing was sent
     ConnectionLost, ///< the target went while it ran the work
     TimedOut,
     Cancelled,
--- a/tests/auto/pipeline/tst_requestmachine.cpp
+++ b/tests/auto/pipeline/tst_requestmachine.cpp
@@ -35,14 +35,28 @@
     return nullptr;
 }
 
-/** Starts the machine and returns the id of its first attempt. */
+/** Starts the machine, with a grant where it asks for one, and returns the id of its first attempt. */
 AttemptId startAttempt(RequestMachine &machine)
 {
-    const Actions started = machine.start(START);
+    Actions started = machine.start(START);
+    if (find<AcquireGrant>(started) != nullptr) {
+        started = machine.onGrant(Fleet::GrantHeld { START + std::chrono::seconds(5) }, START);
+    }
     const Actions assigned = machine.onAssigned(find<SubmitWork>(started)->item.id, TargetId("t1"), START);
     return find<SendAttempt>(assigned)->attempt;
 }
 
+/** A repeatable stage with the name "before" and then the stage "only". */
+CallerRequest withEarlierStage(CallerRequest request)
+{
+    Settings::StageSettings stage;
+    stage.name = StageName("before");
+    stage.pool = PoolName("pool");
+    stage.kind = request.pipeline.stages.front().kind;
+    request.pipeline.stages.insert(request.pipeline.stages.begin(), stage);
+    return request;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(answersOnceAndIgnoresLateEvents)
@@ -86,3 +100,103 @@
     const Actions actions = machine.onSucceeded(second, nullptr, START);
     BOOST_TEST(find<Answer>(actions)->text == "abcd");
 }
+
+BOOST_AUTO_TEST_CASE(nonRepeatableStageWaitsForItsGrant)
+{
+    RequestMachine machine(requestWith(Schema::StageKind::Call, false), WorkId(1));
+    const Actions started = machine.start(START);
+    BOOST_REQUIRE(find<AcquireGrant>(started) != nullptr);
+    BOOST_TEST(find<SubmitWork>(started) == nullptr);
+    const Actions held = machine.onGrant(Fleet::GrantHeld { START + std::chrono::seconds(2) }, START);
+    const Actions assigned = machine.onAssigned(find<SubmitWork>(held)->item.id, TargetId("t1"), START);
+    BOOST_CHECK(find<SendAttempt>(assigned)->sendBefore == START + std::chrono::seconds(2));
+}
+
+BOOST_AUTO_TEST_CASE(unusedGrantProvesThatNothingRan)
+{
+    RequestMachine machine(requestWith(Schema::StageKind::Call, false), WorkId(1));
+    const AttemptId attempt = startAttempt(machine);
+    const Actions failed = machine.onFailed(attempt, { Routing::AttemptOutcome::Refused, "busy" }, START);
+    const Actions rejected =
+        machine.onRejected(find<SubmitWork>(failed)->item.id, { ErrorKind::Overloaded, Outcome::NotRun, "", {} }, START);
+    BOOST_REQUIRE(find<FinishGrant>(rejected) != nullptr);
+    BOOST_CHECK(find<FinishGrant>(rejected)->end == Fleet::GrantEnd::NotRun);
+    BOOST_CHECK(find<Refuse>(rejected)->refusal.outcome == Outcome::NotRun);
+}
+
+BOOST_AUTO_TEST_CASE(lostNonRepeatableAttemptEndsTheGrantAsUnknown)
+{
+    RequestMachine machine(requestWith(Schema::StageKind::Call, false), WorkId(1));
+    const Actions actions = machine.onFailed(startAttempt(machine), { Routing::AttemptOutcome::ConnectionLost, "lost" }, START);
+    BOOST_CHECK(find<FinishGrant>(actions)->end == Fleet::GrantEnd::Unknown);
+}
+
+BOOST_AUTO_TEST_CASE(replayedResultIsNotRunAgain)
+{
+    RequestMachine machine(requestWith(Schema::StageKind::Call, false), WorkId(1));
+    machine.start(START);
+    const Actions actions = machine.onGrant(Fleet::GrantReplayed { "\"stored\"" }, START);
+    BOOST_TEST(find<SubmitWork>(actions) == nullptr);
+    BOOST_TEST(find<FinishGrant>(actions) == nullptr);
+    BOOST_TEST(find<Answer>(actions)->results["only"] == "stored");
+}
+
+BOOST_AUTO_TEST_CASE(failureAfterANonRepeatableSuccessIsNeverNotRun)
+{
+    CallerRequest request = requestWith(Schema::StageKind::Call, false);
+    Settings::StageSettings last = request.pipeline.stages.front();
+    last.name = StageName("last");
+    last.repeatable = true;
+    request.pipeline.stages.push_back(last);
+    RequestMachine machine(request, WorkId(1));
+    const Actions done = machine.onSucceeded(startAttempt(machine), "booked", START);
+    BOOST_CHECK(find<FinishGrant>(done)->end == Fleet::GrantEnd::Succeeded);
+    BOOST_TEST(find<FinishGrant>(done)->result == "\"booked\"");
+    const Actions rejected = machine.onRejected(find<SubmitWork>(done)->item.id, { ErrorKind::Overloaded, Outcome::NotRun, "", {} }, START);
+    BOOST_REQUIRE(find<Refuse>(rejected) != nullptr);
+    BOOST_CHECK(find<Refuse>(rejected)->refusal.outcome == Outcome::Unknown);
+    BOOST_TEST(find<Refuse>(rejected)->refusal.detail.find("only succeeded") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(refusalBeforeTheGrantIsNotRunOnlyWhenTheGrantProvesIt)
+{
+    const Refusal overloaded { ErrorKind::Overloaded, Outcome::NotRun, "", {} };
+    for (const bool held : { true, false }) {
+        RequestMachine machine(withEarlierStage(requestWith(Schema::StageKind::Call, false)), WorkId(1));
+        const Actions started = machine.start(START);
+        const Actions rejected = machine.onRejected(find<SubmitWork>(started)->item.id, overloaded, START);
+        BOOST_TEST(find<Refuse>(rejected) == nullptr);
+        BOOST_TEST(find<AcquireGrant>(rejected)->key.stage == StageName("only"));
+        const Actions ended = held ? machine.onGrant(Fleet::GrantHeld { START + std::chrono::seconds(1) }, START)
+                                   : machine.onGrant(Fleet::GrantReplayed { "1" }, START);
+        BOOST_TEST((find<FinishGrant>(ended) != nullptr) == held);
+        BOOST_REQUIRE(find<Refuse>(ended) != nullptr);
+        BOOST_CHECK(find<Refuse>(ended)->refusal.outcome == (held ? Outcome::NotRun : Outcome::Unknown));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(grantThatComesAfterTheEndIsGivenBack)
+{
+    RequestMachine machine(requestWith(Schema::StageKind::Call, false), WorkId(1));
+    machine.start(START);
+    const Actions gone = machine.onCallerGone(START);
+    BOOST_CHECK(find<Refuse>(gone)->refusal.outcome == Outcome::Unknown);
+    const Actions late = machine.onGrant(Fleet::GrantHeld { START + std::chrono::seconds(1) }, START);
+    BOOST_REQUIRE(find<FinishGrant>(late) != nullptr);
+    BOOST_CHECK(find<FinishGrant>(late)->end == Fleet::GrantEnd::NotRun);
+    BOOST_TEST(find<SubmitWork>(late) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheLastGenerateStageReachesTheCaller)
+{
+    RequestMachine machine(withEarlierStage(requestWith(Schema::StageKind::Generate, true)), WorkId(1));
+    const AttemptId first = startAttempt(machine);
+    BOOST_TEST(machine.onText(first, 0, "draft", START).empty());
+    const Actions next = machine.onSucceeded(first, nullptr, START);
+    const Actions assigned = machine.onAssigned(find<SubmitWork>(next)->item.id, TargetId("t2"), START);
+    const AttemptId second = find<SendAttempt>(assigned)->attempt;
+    BOOST_TEST(find<DeliverText>(machine.onText(second, 0, "final", START))->text == "final");
+    const Actions actions = machine.onSucceeded(second, nullptr, START);
+    BOOST_TEST(find<Answer>(actions)->text == "final");
+    BOOST_TEST(find<Answer>(actions)->results["before"] == "draft");
+}
