--- a/src/app/cassiarelayd/callerapi.cpp
+++ b/src/app/cassiarelayd/callerapi.cpp
@@ -88,8 +88,11 @@
     const RequestId id = nextRequestId();
     m_services.metrics.counter("cassiarelay_requests_total").add();
     try {
-        const auto view = m_services.view();
-        if (m_services.draining || !view->isComplete()) {
+        const auto view = m_services.control.view();
+        if (m_services.control.isIsolated()) {
+            throw Error(ErrorKind::Isolated, "this VM is cut off");
+        }
+        if (m_services.draining || !m_services.control.isReady()) {
             throw Error(ErrorKind::Draining, m_services.draining ? "this VM is shutting down" : "this VM is starting");
         }
         std::make_shared<RequestDriver>(m_services, exchange, parse(exchange->request(), *view, id))->start();
--- a/src/app/cassiarelayd/daemon.h
+++ b/src/app/cassiarelayd/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "callerapi.h"
+#include "celladapter.h"
 #include "controlplane.h"
 #include "operatorapi.h"
 #include "requestdriver.h"
@@ -25,21 +26,23 @@
     void run();
 
 private:
+    ControlHandlers controlHandlers();
     void waitForSignal();
     void beginShutdown();
     void finishShutdownWhenIdle();
     void stopNow();
     void tickRouter();
 
+    VmId m_vm;
     Incarnation m_incarnation;
     boost::asio::io_context m_requestContext;
     boost::asio::io_context m_controlContext;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_requestWork;
     Metrics::Registry m_metrics;
-    WorkRouter m_router;
     Net::HttpClient m_targetHttp;
     Net::TargetClient m_targets;
     ControlPlane m_control;
+    WorkRouter m_router;
     RequestServices m_services;
     CallerApi m_callerApi;
     OperatorApi m_operatorApi;
--- a/src/app/cassiarelayd/operatorapi.cpp
+++ b/src/app/cassiarelayd/operatorapi.cpp
@@ -78,7 +78,7 @@
 
 Net::HttpResponse OperatorApi::readiness() const
 {
-    const bool ready = m_control.view()->isComplete() && !m_services.draining;
+    const bool ready = m_control.isReady() && !m_services.draining;
     Net::HttpResponse response = jsonResponse({ { "ready", ready } });
     response.status = ready ? response.status : STATUS_SERVICE_UNAVAILABLE;
     return response;
--- a/src/app/cassiarelayd/requestdriver.cpp
+++ b/src/app/cassiarelayd/requestdriver.cpp
@@ -63,13 +63,25 @@
     post([decision](RequestDriver &driver) {
         return std::visit(
             Overloaded {
-                [&driver](const Routing::Assign &assign) { return driver.m_machine.onAssigned(assign.work, assign.target, now()); },
+                [&driver](const Routing::Assign &assign) { return driver.onAssigned(assign); },
                 [&driver](const Routing::Reject &reject) { return driver.m_machine.onRejected(reject.work, reject.refusal, now()); },
+                [](const auto & /*other*/) { return Pipeline::Actions {}; },
             },
             decision);
     });
 }
 
+// An isolated daemon cannot know whether the target has been taken out meanwhile.
+Pipeline::Actions RequestDriver::onAssigned(const Routing::Assign &assign)
+{
+    if (!m_services.control.isIsolated()) {
+        return m_machine.onAssigned(assign.work, assign.target, now());
+    }
+    m_services.router.finished(assign.work, Routing::AttemptOutcome::Cancelled, Duration {});
+    return m_machine.onRejected(
+        assign.work, { ErrorKind::Isolated, Outcome::NotRun, "this VM is cut off", std::chrono::seconds(1) }, now());
+}
+
 template<typename Event>
 void RequestDriver::post(Event event)
 {
@@ -100,7 +112,7 @@
 
 void RequestDriver::perform(const Pipeline::SendAttempt &action)
 {
-    const auto view = m_services.view();
+    const auto view = m_services.control.view();
     const Routing::Target *target = view->targets->find(action.target);
     if (target == nullptr) {
         perform(m_machine.onFailed(action.attempt, { Routing::AttemptOutcome::Refused, "the target is no longer published" }, now()));
@@ -138,6 +150,22 @@
     m_calls.erase(found);
 }
 
+void RequestDriver::perform(const Pipeline::AcquireGrant &action)
+{
+    m_claim = m_services.control.claimGrant(
+        action.key, action.fingerprint, action.deadline, [self = shared_from_this()](const Fleet::GrantDecision &decision) {
+            self->post([decision](RequestDriver &driver) { return driver.m_machine.onGrant(decision, now()); });
+        });
+}
+
+void RequestDriver::perform(const Pipeline::FinishGrant &action)
+{
+    if (m_claim) {
+        m_services.control.finishGrant(*m_claim, action.end, action.result);
+        m_claim.reset();
+    }
+}
+
 void RequestDriver::perform(const Pipeline::DeliverText &action)
 {
     if (!m_machine.request().stream) {
--- a/src/libs/net/platformwatch.cpp
+++ b/src/libs/net/platformwatch.cpp
@@ -23,13 +23,15 @@
                              Schema::Endpoint platform,
                              std::string key,
                              RandomSource::result_type seed,
-                             DocumentHandler handler)
+                             DocumentHandler handler,
+                             AnswerHandler answerHandler)
     : m_context(context)
     , m_client(client)
     , m_platform(std::move(platform))
     , m_key(std::move(key))
     , m_random(seed)
     , m_handler(std::move(handler))
+    , m_answerHandler(std::move(answerHandler))
     , m_timer(context)
     , m_backOff(FIRST_BACK_OFF)
 {
@@ -49,11 +51,6 @@
     }
 }
 
-MonotonicTime PlatformWatch::lastAnswer() const
-{
-    return m_lastAnswer;
-}
-
 std::uint64_t PlatformWatch::reads() const
 {
     return m_reads;
@@ -96,8 +93,8 @@
         onFailure();
         return;
     }
-    m_lastAnswer = std::chrono::steady_clock::now();
     m_backOff = FIRST_BACK_OFF;
+    m_answerHandler();
     // A service that was set back shows an older revision; the watch goes on from there, whoever holds newer ones keeps them.
     const bool changed = m_status == STATUS_OK && m_answerRevision != m_revision;
     if (changed) {
