Command line for operators, what the daemon tells it, and example settings

The command line knew status and targets and printed JSON only. The operators' interface gains vms, domains, organisations, histograms, configuration and requests/ID; RequestLog keeps the last requests in a bounded ring. share/ holds the settings of both sites, checked by a test through the same code. The package is built by cpack and installs both programs, manuals, completion and examples.

Histograms and request ID stay empty until the request driver calls RequestMetrics and RequestLog.

--- a/cmake/CassiaRelayPackaging.cmake
+++ b/cmake/CassiaRelayPackaging.cmake
@@ -1,8 +1,16 @@
-# Debian package of both programs with their example settings.
+# Debian package of both programs with manual pages, shell completion and example settings.
+install(DIRECTORY share/dakar share/kuala-lumpur DESTINATION ${CMAKE_INSTALL_DATADIR}/cassiarelay)
+install(FILES share/demo-fleet.json DESTINATION ${CMAKE_INSTALL_DATADIR}/cassiarelay)
+install(FILES share/man/cassiarelay.1 DESTINATION ${CMAKE_INSTALL_MANDIR}/man1)
+install(FILES share/man/cassiarelayd.8 DESTINATION ${CMAKE_INSTALL_MANDIR}/man8)
+install(FILES share/completions/cassiarelay DESTINATION ${CMAKE_INSTALL_DATADIR}/bash-completion/completions)
+
 set(CPACK_GENERATOR DEB)
 set(CPACK_PACKAGE_NAME cassiarelay)
 set(CPACK_PACKAGE_CONTACT "cassiarelay developers <developers@cassiarelay.example>")
 set(CPACK_PACKAGE_DESCRIPTION_SUMMARY "Serving system for multi-stage model pipelines")
+set(CPACK_PACKAGING_INSTALL_PREFIX /usr)
+set(CPACK_DEBIAN_FILE_NAME DEB-DEFAULT)
 set(CPACK_DEBIAN_PACKAGE_SHLIBDEPS ON)
 set(CPACK_STRIP_FILES ON)
 include(CPack)
--- a/src/app/cassiarelayd/controlplane.cpp
+++ b/src/app/cassiarelayd/controlplane.cpp
@@ -92,6 +92,11 @@
     };
 }
 
+const Schema::Document *ControlPlane::document(std::string_view key) const
+{
+    return m_node.documents().find(std::string(key));
+}
+
 void ControlPlane::onDocument(const Schema::Document &document)
 {
     try {
--- a/src/app/cassiarelayd/controlplane.h
+++ b/src/app/cassiarelayd/controlplane.h
@@ -27,6 +27,8 @@
     std::shared_ptr<const FleetView> view() const;
     /** State for operators. Call on the control thread. */
     nlohmann::json status() const;
+    /** The published document in force; nullptr when there is none yet. Call on the control thread. */
+    const Schema::Document *document(std::string_view key) const;
 
 private:
     void onDocument(const Schema::Document &document);
--- a/src/app/cassiarelayd/operatorapi.cpp
+++ b/src/app/cassiarelayd/operatorapi.cpp
@@ -1,5 +1,6 @@
 #include "operatorapi.h"
 
+#include "operatorviews.h"
 #include "problemresponse.h"
 
 namespace CassiaRelay::Daemon {
@@ -9,12 +10,14 @@
 namespace {
 
 constexpr std::string_view ADMIN_PATH = "/admin/v1/";
+constexpr std::string_view REQUESTS_PATH = "requests/";
+constexpr unsigned STATUS_NOT_FOUND = 404;
 constexpr unsigned STATUS_SERVICE_UNAVAILABLE = 503;
 
 Net::HttpResponse jsonResponse(const json &body)
 {
     Net::HttpResponse response;
-    response.body = body.dump();
+    response.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
     return response;
 }
 
@@ -64,16 +67,65 @@
     if (!constantTimeEquals(presented, "Bearer " + m_token)) {
         throw Error(ErrorKind::Unauthorized, "wrong operator token", "use the token from operators/token in the daemon's settings");
     }
+    if (path.compare(0, REQUESTS_PATH.size(), REQUESTS_PATH) == 0) {
+        return recentRequest(RequestId(path.substr(REQUESTS_PATH.size())));
+    }
+    return jsonResponse(state(path));
+}
+
+json OperatorApi::state(const std::string &path) const
+{
+    const auto view = m_control.view();
     if (path == "status") {
         json status = m_control.status();
         status["activeRequests"] = m_services.activeRequests.load();
         status["draining"] = m_services.draining.load();
-        return jsonResponse(status);
+        return status;
+    }
+    if (path == "vms") {
+        return vmsJson(*view, m_control.status().at("peers"));
     }
     if (path == "targets") {
-        return jsonResponse(targets());
+        return targetsJson(*view);
+    }
+    if (path == "domains") {
+        return domainsJson(*view);
     }
-    throw Error(ErrorKind::BadRequest, "no such path", "use /admin/v1/status or /admin/v1/targets");
+    if (path == "organisations") {
+        return organisationsJson(*view);
+    }
+    if (path == "histograms") {
+        return histogramsJson(m_services.metrics.histograms());
+    }
+    if (path == "configuration") {
+        return configuration();
+    }
+    throw Error(ErrorKind::BadRequest,
+                "no such path",
+                "use status, vms, targets, domains, organisations, histograms, configuration or requests/ID below /admin/v1/");
+}
+
+json OperatorApi::configuration() const
+{
+    const Schema::Document *document = m_control.document(Schema::CONFIGURATION_KEY);
+    if (document == nullptr) {
+        throw Error(ErrorKind::Draining, "no fleet configuration is in force yet", "publish one, or wait until the platform answers");
+    }
+    return { { "revision", document->revision }, { "text", document->text } };
+}
+
+Net::HttpResponse OperatorApi::recentRequest(const RequestId &id) const
+{
+    const std::optional<RequestRecord> record = m_services.requestLog.find(id);
+    if (record) {
+        return jsonResponse(requestJson(*record));
+    }
+    Net::HttpResponse response = jsonResponse({
+        { "detail", "no request '" + id.value() + "' here" },
+        { "remedy", "ask the VM that the id begins with; a daemon keeps only its most recent requests" },
+    });
+    response.status = STATUS_NOT_FOUND;
+    return response;
 }
 
 Net::HttpResponse OperatorApi::readiness() const
@@ -84,18 +136,4 @@
     return response;
 }
 
-json OperatorApi::targets() const
-{
-    json list = json::array();
-    for (const auto &[id, target] : m_control.view()->targets->targets()) {
-        list.push_back({
-            { "target", id.value() },
-            { "pool", target.pool.value() },
-            { "failureDomain", target.failureDomain.value() },
-            { "acceptsWork", target.acceptsWork() },
-        });
-    }
-    return list;
-}
-
 } // namespace CassiaRelay::Daemon
--- a/src/app/cassiarelayd/operatorapi.h
+++ b/src/app/cassiarelayd/operatorapi.h
@@ -21,7 +21,9 @@
     Net::HttpResponse answer(const Net::HttpRequest &request) const;
     Net::HttpResponse admin(const Net::HttpRequest &request, const std::string &path) const;
     Net::HttpResponse readiness() const;
-    nlohmann::json targets() const;
+    nlohmann::json state(const std::string &path) const;
+    nlohmann::json configuration() const;
+    Net::HttpResponse recentRequest(const RequestId &id) const;
 
     RequestServices &m_services;
     ControlPlane &m_control;
--- a/src/app/cassiarelayd/requestdriver.h
+++ b/src/app/cassiarelayd/requestdriver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleetview.h"
+#include "requestlog.h"
 #include "workrouter.h"
 
 #include <metrics/metrics.h>
@@ -26,6 +27,8 @@
     std::function<std::shared_ptr<const FleetView>()> view;
     std::atomic<std::size_t> activeRequests { 0 };
     std::atomic<bool> draining { false };
+    RequestLog requestLog {};
+    Metrics::RequestMetrics requestMetrics { metrics };
 };
 
 /** Carries out the actions of one request's state machine on its own strand. */
--- a/src/libs/metrics/registry.cpp
+++ b/src/libs/metrics/registry.cpp
@@ -46,14 +46,14 @@
 
 std::string histogramText(const std::string &name, const std::string &labels, const HistogramSummary &summary)
 {
-    const std::string prefix = labels.empty() ? "" : labels + ",";
+    const std::string bucketName = name + "_bucket{" + (labels.empty() ? "" : labels + ",") + "le=\"";
     std::string text;
     std::uint64_t cumulative = 0;
     for (std::size_t index = 0; index < BUCKET_BOUNDS.size(); ++index) {
         cumulative += summary.buckets[index];
-        text += name + "_bucket{" + prefix + "le=\"" + secondsText(BUCKET_BOUNDS[index]) + "\"} " + std::to_string(cumulative) + "\n";
+        text.append(bucketName).append(secondsText(BUCKET_BOUNDS[index])).append("\"} ").append(std::to_string(cumulative)).append("\n");
     }
-    text += name + "_bucket{" + prefix + "le=\"+Inf\"} " + std::to_string(summary.count) + "\n";
+    text += bucketName + "+Inf\"} " + std::to_string(summary.count) + "\n";
     text += seriesName(name + "_sum", labels) + " " + secondsText(summary.sum) + "\n";
     text += seriesName(name + "_count", labels) + " " + std::to_string(summary.count) + "\n";
     return text;
--- a/src/libs/settings/fleetsettings.cpp
+++ b/src/libs/settings/fleetsettings.cpp
@@ -11,23 +11,6 @@
 
 using std::chrono::milliseconds;
 
-FleetDefaults toDefaults(const Schema::FleetDefaults &raw)
-{
-    FleetDefaults defaults;
-    defaults.deadline = milliseconds(raw.deadlineMs.value_or(9000));
-    defaults.concurrency = static_cast<int>(raw.concurrency.value_or(8));
-    defaults.coldConcurrency = static_cast<int>(raw.coldConcurrency.value_or(1));
-    defaults.queueLength = static_cast<int>(raw.queueLength.value_or(256));
-    defaults.requestsPerSecond = raw.requestsPerSecond.value_or(1000);
-    defaults.organisationConcurrency = static_cast<int>(raw.organisationConcurrency.value_or(512));
-    defaults.retryBudget = raw.retryBudgetPercent.value_or(10) / 100;
-    defaults.ejectionLimit = raw.ejectionPercent.value_or(34) / 100;
-    defaults.isolationLimit = milliseconds(raw.isolationLimitMs.value_or(3000));
-    defaults.resendWindow = milliseconds(raw.resendWindowMs.value_or(30000));
-    defaults.grantRetention = milliseconds(raw.grantRetentionMs.value_or(3600000));
-    return defaults;
-}
-
 StageSettings toStage(const Schema::StageEntry &raw, int pipelineClass)
 {
     StageSettings stage;
@@ -100,6 +83,23 @@
 
 } // namespace
 
+FleetDefaults toFleetDefaults(const Schema::FleetDefaults &raw)
+{
+    FleetDefaults defaults;
+    defaults.deadline = milliseconds(raw.deadlineMs.value_or(9000));
+    defaults.concurrency = static_cast<int>(raw.concurrency.value_or(8));
+    defaults.coldConcurrency = static_cast<int>(raw.coldConcurrency.value_or(1));
+    defaults.queueLength = static_cast<int>(raw.queueLength.value_or(256));
+    defaults.requestsPerSecond = raw.requestsPerSecond.value_or(1000);
+    defaults.organisationConcurrency = static_cast<int>(raw.organisationConcurrency.value_or(512));
+    defaults.retryBudget = raw.retryBudgetPercent.value_or(10) / 100;
+    defaults.ejectionLimit = raw.ejectionPercent.value_or(34) / 100;
+    defaults.isolationLimit = milliseconds(raw.isolationLimitMs.value_or(3000));
+    defaults.resendWindow = milliseconds(raw.resendWindowMs.value_or(30000));
+    defaults.grantRetention = milliseconds(raw.grantRetentionMs.value_or(3600000));
+    return defaults;
+}
+
 bool PipelineSettings::needsIdempotencyKey() const
 {
     return std::any_of(stages.begin(), stages.end(), [](const StageSettings &stage) { return !stage.repeatable; });
@@ -115,7 +115,7 @@
     }
     auto settings = std::make_shared<FleetSettings>();
     settings->m_revision = revision;
-    settings->m_defaults = toDefaults(raw.defaults);
+    settings->m_defaults = toFleetDefaults(raw.defaults);
     settings->m_exceptions = raw.exceptions.value_or(std::vector<Schema::SettingException> {});
     for (const Schema::PipelineEntry &entry : raw.pipelines) {
         settings->m_pipelines.emplace(entry.name, toPipeline(entry, settings->m_defaults, settings->m_exceptions));
--- a/src/libs/settings/fleetsettings.h
+++ b/src/libs/settings/fleetsettings.h
@@ -67,6 +67,9 @@
     std::chrono::milliseconds grantRetention {};
 };
 
+/** Fills in what the document leaves out. */
+FleetDefaults toFleetDefaults(const Schema::FleetDefaults &raw);
+
 /** The fleet configuration of one revision: immutable, and the same on every daemon. */
 class FleetSettings
 {
--- a/src/tools/cassiarelay/adminclient.cpp
+++ b/src/tools/cassiarelay/adminclient.cpp
@@ -1,5 +1,7 @@
 #include "adminclient.h"
 
+#include "exitcode.h"
+
 #include <net/net.h>
 
 namespace CassiaRelay::Tool {
@@ -8,6 +10,7 @@
 
 constexpr std::chrono::seconds READ_TIMEOUT { 5 };
 constexpr unsigned STATUS_OK = 200;
+constexpr unsigned STATUS_NOT_FOUND = 404;
 
 } // namespace
 
@@ -36,13 +39,15 @@
     client.send(std::move(request), std::move(handlers));
     context.run();
     if (!failure.empty()) {
-        throw Error(ErrorKind::Internal, failure, "check that the daemon runs and that --settings names its file");
+        throw ToolError(ExitCode::Unreachable, failure, "check that the daemon runs and that --settings names its file");
     }
     nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
     if (status != STATUS_OK || document.is_discarded()) {
-        throw Error(ErrorKind::Internal,
-                    "the daemon answered with status " + std::to_string(status) + ": " + body,
-                    document.is_object() ? document.value("remedy", std::string()) : std::string());
+        const bool isProblem = document.is_object();
+        throw ToolError(status == STATUS_NOT_FOUND ? ExitCode::NotFound : ExitCode::Unreachable,
+                        "the daemon answered with status " + std::to_string(status) + ": "
+                            + (isProblem ? document.value("detail", body) : body),
+                        isProblem ? document.value("remedy", std::string()) : "check that --settings names the daemon's file");
     }
     return document;
 }
--- a/tests/auto/metrics/tst_metrics.cpp
+++ b/tests/auto/metrics/tst_metrics.cpp
@@ -80,6 +80,7 @@
     constexpr int SAMPLES = 5000;
     Metrics::Histogram histogram;
     std::vector<std::thread> threads;
+    threads.reserve(THREADS);
     for (int thread = 0; thread < THREADS; ++thread) {
         threads.emplace_back([&histogram] {
             for (int sample = 0; sample < SAMPLES; ++sample) {
