--- a/src/app/cassiarelayd/controlplane.cpp
+++ b/src/app/cassiarelayd/controlplane.cpp
@@ -170,6 +170,11 @@
     handler(decided.decision);
 }
 
+const Schema::Document *ControlPlane::document(std::string_view key) const
+{
+    return m_node.documents().find(std::string(key));
+}
+
 void ControlPlane::onDocument(const Schema::Document &document)
 {
     try {
--- a/src/app/cassiarelayd/requestdriver.h
+++ b/src/app/cassiarelayd/requestdriver.h
@@ -2,6 +2,7 @@
 
 #include "controlplane.h"
 #include "fleetview.h"
+#include "requestlog.h"
 #include "workrouter.h"
 
 #include <metrics/metrics.h>
@@ -28,6 +29,8 @@
     ControlPlane &control;
     std::atomic<std::size_t> activeRequests { 0 };
     std::atomic<bool> draining { false };
+    RequestLog requestLog {};
+    Metrics::RequestMetrics requestMetrics { metrics };
 };
 
 /** Carries out the actions of one request's state machine on its own strand. */
