Keep a request alive while it waits in the queue

Cause: nothing but running calls held a RequestDriver, so a request that found no free target at once was destroyed and never answered. Change: its deadline timer holds it; the answer or refusal cancels it.

--- a/src/app/cassiarelayd/requestdriver.cpp
+++ b/src/app/cassiarelayd/requestdriver.cpp
@@ -187,12 +187,12 @@
     m_exchange->abortAfterQueued();
 }
 
+// The timer keeps the driver alive while its work waits for a target; the answer or refusal cancels it.
 void RequestDriver::perform(const Pipeline::ArmTimer &action)
 {
     m_timer.expires_at(action.at);
-    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
-        const auto self = weak.lock();
-        if (error || !self) {
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (error) {
             return;
         }
         self->perform(self->m_machine.onTimer(now()));
