--- a/src/app/cassiarelayd/daemon.cpp
+++ b/src/app/cassiarelayd/daemon.cpp
@@ -37,16 +37,14 @@
 } // namespace
 
 Daemon::Daemon(const Settings::ProcessSettings &settings)
-    : m_incarnation(newIncarnation())
+    : m_vm(settings.vm)
+    , m_incarnation(newIncarnation())
     , m_requestWork(boost::asio::make_work_guard(m_requestContext))
-    , m_router(m_incarnation.value())
     , m_targetHttp(m_requestContext)
     , m_targets(m_targetHttp)
-    , m_control(m_controlContext,
-                settings,
-                m_incarnation,
-                [this](const std::shared_ptr<const FleetView> &view) { m_router.adopt(view->targets, view->settings); })
-    , m_services { m_requestContext, m_router, m_targets, m_metrics, [this] { return m_control.view(); } }
+    , m_control(m_controlContext, settings, m_incarnation, controlHandlers())
+    , m_router(m_incarnation.value(), settings.vm, settings.failureDomain, cellLinkTo(m_control))
+    , m_services { m_requestContext, m_router, m_targets, m_metrics, m_control }
     , m_callerApi(m_services, requestIdPrefix(settings.vm, m_incarnation))
     , m_operatorApi(m_services, m_control, settings.operators.token)
     , m_callerServer(m_requestContext,
@@ -85,6 +83,19 @@
     spdlog::info("stopped");
 }
 
+ControlHandlers Daemon::controlHandlers()
+{
+    ControlHandlers handlers;
+    handlers.view = [this](const std::shared_ptr<const FleetView> &view) { m_router.adopt(view->targets, view->settings); };
+    handlers.permit = [this](const Fleet::PermitDecided &decided) { m_router.onPermit(decided.work, decided.target, decided.granted); };
+    handlers.quarantine = [this](const Fleet::QuarantineChanged &changed) {
+        m_router.onQuarantine(changed.fingerprint, toRouting(changed.state));
+    };
+    handlers.demand = [this](const Fleet::DemandChanged &changed) { m_router.adoptShares(toRouting(m_vm, changed)); };
+    handlers.ownDemand = [this] { return toFleet(m_router.demand()); };
+    return handlers;
+}
+
 void Daemon::waitForSignal()
 {
     m_signals.async_wait([this](const boost::system::error_code &error, int) {
--- a/src/app/cassiarelayd/requestdriver.h
+++ b/src/app/cassiarelayd/requestdriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controlplane.h"
 #include "fleetview.h"
 #include "workrouter.h"
 
@@ -14,6 +15,7 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace CassiaRelay::Daemon {
 
@@ -23,7 +25,7 @@
     WorkRouter &router;
     Net::TargetClient &targets;
     Metrics::Registry &metrics;
-    std::function<std::shared_ptr<const FleetView>()> view;
+    ControlPlane &control;
     std::atomic<std::size_t> activeRequests { 0 };
     std::atomic<bool> draining { false };
 };
@@ -46,6 +48,7 @@
         std::shared_ptr<Net::HttpCall> call;
     };
 
+    Pipeline::Actions onAssigned(const Routing::Assign &assign);
     template<typename Event>
     void post(Event event);
     void perform(const Pipeline::Actions &actions);
@@ -54,6 +57,8 @@
     void perform(const Pipeline::ReleaseWork &action);
     void perform(const Pipeline::SendAttempt &action);
     void perform(const Pipeline::CancelAttempt &action);
+    void perform(const Pipeline::AcquireGrant &action);
+    void perform(const Pipeline::FinishGrant &action);
     void perform(const Pipeline::DeliverText &action);
     void perform(const Pipeline::Answer &action);
     void perform(const Pipeline::Refuse &action);
@@ -68,6 +73,7 @@
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     boost::asio::steady_timer m_timer;
     std::map<Pipeline::AttemptId, RunningCall> m_calls;
+    std::optional<Fleet::ClaimId> m_claim; ///< of the current non-repeatable stage
     bool m_streamStarted = false;
     std::size_t m_deliveredBytes = 0;
 };
--- a/src/app/cassiarelayd/workrouter.cpp
+++ b/src/app/cassiarelayd/workrouter.cpp
@@ -16,15 +16,11 @@
     return work.value() / WORK_IDS_PER_REQUEST;
 }
 
-WorkId workOf(const Routing::Decision &decision)
-{
-    return std::visit([](const auto &body) { return body.work; }, decision);
-}
-
 } // namespace
 
-WorkRouter::WorkRouter(std::uint64_t seed)
-    : m_dispatcher(seed)
+WorkRouter::WorkRouter(std::uint64_t seed, VmId self, FailureDomain failureDomain, CellLink cell)
+    : m_dispatcher(seed, std::move(self), std::move(failureDomain))
+    , m_cell(std::move(cell))
 {
 }
 
@@ -70,20 +66,74 @@
     deliver(m_dispatcher.tick(now()));
 }
 
+void WorkRouter::onPermit(WorkId work, const TargetId &target, bool granted)
+{
+    deliver(m_dispatcher.onPermit(work, target, granted, now()));
+}
+
+void WorkRouter::onLoadReport(const TargetId &target, const Routing::LoadReport &report)
+{
+    deliver(m_dispatcher.onLoadReport(target, report, now()));
+}
+
+void WorkRouter::onQuarantine(Fingerprint fingerprint, Routing::QuarantineState state)
+{
+    deliver(m_dispatcher.onQuarantine(fingerprint, state, now()));
+}
+
+void WorkRouter::adoptShares(Routing::DemandShares shares)
+{
+    m_dispatcher.adoptShares(std::move(shares));
+}
+
+std::vector<Routing::PoolDemand> WorkRouter::demand()
+{
+    return m_dispatcher.demand();
+}
+
 void WorkRouter::deliver(const Routing::Decisions &decisions)
 {
     for (const Routing::Decision &decision : decisions) {
-        const std::shared_ptr<WorkOwner> owner = ownerOf(workOf(decision));
-        if (owner) {
-            owner->onDecision(decision);
-            continue;
-        }
-        if (const auto *assign = std::get_if<Routing::Assign>(&decision)) {
-            finished(assign->work, Routing::AttemptOutcome::Cancelled, Duration {});
-        }
+        std::visit([this](const auto &body) { perform(body); }, decision);
+    }
+}
+
+void WorkRouter::perform(const Routing::Assign &assign)
+{
+    if (const auto owner = ownerOf(assign.work)) {
+        owner->onDecision(assign);
+        return;
+    }
+    finished(assign.work, Routing::AttemptOutcome::Cancelled, Duration {});
+}
+
+void WorkRouter::perform(const Routing::Reject &reject)
+{
+    if (const auto owner = ownerOf(reject.work)) {
+        owner->onDecision(reject);
     }
 }
 
+void WorkRouter::perform(const Routing::NeedPermit &need)
+{
+    m_cell.requestPermit(need);
+}
+
+void WorkRouter::perform(const Routing::ReturnPermit &permit)
+{
+    m_cell.returnPermit(permit);
+}
+
+void WorkRouter::perform(const Routing::ReportDeath &report)
+{
+    m_cell.reportDeath(report);
+}
+
+void WorkRouter::perform(const Routing::ReportSurvived &report)
+{
+    m_cell.reportSurvived(report);
+}
+
 std::shared_ptr<WorkOwner> WorkRouter::ownerOf(WorkId work)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libs/net/platformwatch.h
+++ b/src/libs/net/platformwatch.h
@@ -17,18 +17,19 @@
 {
 public:
     using DocumentHandler = std::function<void(const Schema::Document &)>;
+    /** Called for each answer, with or without news. */
+    using AnswerHandler = std::function<void()>;
 
     PlatformWatch(boost::asio::io_context &context,
                   HttpClient &client,
                   Schema::Endpoint platform,
                   std::string key,
                   RandomSource::result_type seed,
-                  DocumentHandler handler);
+                  DocumentHandler handler,
+                  AnswerHandler answerHandler);
 
     void start();
     void stop();
-    /** When the platform last answered; the epoch before its first answer. */
-    MonotonicTime lastAnswer() const;
     /** Calls made so far. */
     std::uint64_t reads() const;
 
@@ -44,13 +45,13 @@
     std::string m_key;
     RandomSource m_random;
     DocumentHandler m_handler;
+    AnswerHandler m_answerHandler;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<HttpCall> m_call;
     unsigned m_status = 0;
     std::int64_t m_answerRevision = 0;
     std::string m_body;
     std::int64_t m_revision = 0;
-    MonotonicTime m_lastAnswer;
     Duration m_backOff;
     std::uint64_t m_reads = 0;
     bool m_stopped = false;
