Decide admission, limits, choice, retries and quarantine in the dispatcher

Cause: work was queued first come first served and sent to the target with the least work, up to the published limit, by each daemon for itself. Change: token buckets and concurrency of organisations; strict classes with start-time fair queueing and earliest deadline, bounded queues that push out the lowest class of the longest flow; early refusal from windowed P2 medians with probes; AIMD limits within shares of the cell; permits for targets that are not warm and detection of warm targets turned cold; power of two choices by expected wait, own domain first, prefix ring with bounded load; ejection with probing; retry budget; quarantine. Policies random, round-robin and least-in-flight stay as baselines (defaults.policy).

--- a/src/libs/pipeline/requestmachine.cpp
+++ b/src/libs/pipeline/requestmachine.cpp
@@ -194,6 +194,7 @@
     item.affinity = prefixAffinity(m_request, stage());
     item.fingerprint = m_request.fingerprint;
     item.repeatable = stage().repeatable;
+    item.first = m_stage == 0;
     item.attempt = m_attempts;
     item.avoid = m_failedTarget;
     for (std::size_t next = m_stage + 1; next < m_request.pipeline.stages.size(); ++next) {
--- /dev/null
+++ b/src/libs/routing/concurrencylimit.cpp
@@ -0,0 +1,42 @@
+#include "concurrencylimit.h"
+
+#include <algorithm>
+
+namespace CassiaRelay::Routing {
+
+namespace {
+
+constexpr double SLOWDOWN_TOLERANCE = 2;
+constexpr double DECREASE_ON_SLOWDOWN = 0.9;
+constexpr double DECREASE_ON_FAILURE = 0.7;
+/** Answers to work that was sent before a decrease say nothing about the new limit. */
+constexpr std::chrono::milliseconds DECREASE_INTERVAL { 100 };
+
+bool isFailure(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::Refused || outcome == AttemptOutcome::TimedOut || outcome == AttemptOutcome::Failed;
+}
+
+} // namespace
+
+void ConcurrencyLimit::onFinished(AttemptOutcome outcome, double slowdown, int bound, MonotonicTime now)
+{
+    const double limit = std::min(m_limit.value_or(bound), static_cast<double>(bound));
+    const bool isSlow = outcome == AttemptOutcome::Succeeded && slowdown > SLOWDOWN_TOLERANCE;
+    if (!isSlow && outcome == AttemptOutcome::Succeeded && m_limit) {
+        m_limit = limit + 1 / std::max(1.0, limit);
+        return;
+    }
+    if ((!isSlow && !isFailure(outcome)) || now - m_decreasedAt < DECREASE_INTERVAL) {
+        return;
+    }
+    m_limit = std::max(1.0, limit * (isSlow ? DECREASE_ON_SLOWDOWN : DECREASE_ON_FAILURE));
+    m_decreasedAt = now;
+}
+
+int ConcurrencyLimit::value(int bound) const
+{
+    return std::min(bound, static_cast<int>(m_limit.value_or(bound)));
+}
+
+} // namespace CassiaRelay::Routing
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -1,9 +1,26 @@
 #include "dispatcher.h"
 
+#include "limitshare.h"
+
 #include <algorithm>
 
 namespace CassiaRelay::Routing {
 
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds PERMIT_BACKOFF { 25 };
+constexpr milliseconds MIN_RETRY_AFTER { 200 };
+constexpr milliseconds MAX_RETRY_AFTER { 10000 };
+
+void append(Decisions &decisions, Decisions more)
+{
+    std::move(more.begin(), more.end(), std::back_inserter(decisions));
+}
+
+} // namespace
+
 Dispatcher::Dispatcher(std::uint64_t seed, VmId self, FailureDomain failureDomain)
     : m_self(std::move(self))
     , m_failureDomain(std::move(failureDomain))
@@ -17,12 +34,18 @@
                             MonotonicTime now)
 {
     const std::lock_guard lock(m_mutex);
+    const bool isNewPolicy = settings && (!m_settings || settings->defaults().policy != m_settings->defaults().policy);
     m_table = std::move(table);
     m_settings = std::move(settings);
+    if (isNewPolicy) {
+        m_policy = makePolicy(m_settings->defaults().policy);
+    }
     Decisions decisions;
-    for (const auto &[pool, waiting] : m_waiting) {
-        Decisions more = startWaiting(pool, now);
-        decisions.insert(decisions.end(), more.begin(), more.end());
+    updateTargets(decisions);
+    applyShares(sharesOfTargets(*m_table, m_shares));
+    rebuildPools(now);
+    for (auto &[name, pool] : m_pools) {
+        startWaiting(pool, now, decisions);
     }
     return decisions;
 }
@@ -30,127 +53,437 @@
 Decisions Dispatcher::submit(const WorkItem &item, MonotonicTime now)
 {
     const std::lock_guard lock(m_mutex);
-    std::deque<WorkItem> &waiting = m_waiting[item.pool];
-    const std::size_t limit = m_settings ? static_cast<std::size_t>(m_settings->defaults().queueLength) : 0;
-    if (waiting.size() >= limit) {
+    if (!isManaged(m_policy)) {
+        return submitUnmanaged(item, now);
+    }
+    Decisions decisions;
+    Pool &pool = m_pools[item.pool];
+    WorkItem accepted = item;
+    if (auto refusal = refusalFor(accepted, pool, now)) {
+        decisions.push_back(Reject { item.id, std::move(*refusal) });
+        return decisions;
+    }
+    if (item.attempt == 0) {
+        pool.retries.onFirstAttempt(m_settings->defaults().retryBudget);
+    }
+    const auto capacity = static_cast<std::size_t>(m_settings->defaults().queueLength);
+    if (auto pushedOut = pool.waiting.push(std::move(accepted), limitsOf(item.organisation).weight, capacity)) {
+        const Duration wait = m_serviceTimes.remaining(*pushedOut);
+        reject(*pushedOut,
+               { ErrorKind::Overloaded, Outcome::NotRun, "the queue of pool " + item.pool.value() + " is full", jittered(wait) },
+               decisions);
+    }
+    startWaiting(pool, now, decisions);
+    return decisions;
+}
+
+Decisions Dispatcher::submitUnmanaged(const WorkItem &item, MonotonicTime now)
+{
+    Pool &pool = m_pools[item.pool];
+    const std::optional<std::size_t> target = chooseUnmanaged(m_policy, pool.members(), m_targets, m_random);
+    if (!target) {
         return { Reject {
-            item.id,
-            { ErrorKind::Overloaded, Outcome::NotRun, "the queue of pool " + item.pool.value() + " is full", std::chrono::seconds(1) } } };
+            item.id, { ErrorKind::NoTargetAvailable, Outcome::NotRun, "pool " + item.pool.value() + " has no target", MIN_RETRY_AFTER } } };
     }
-    waiting.push_back(item);
-    return startWaiting(item.pool, now);
+    m_targets[*target].onStarted();
+    ++pool.running;
+    m_placed.emplace(item.id, Placed { item, *target, now, false, false, false });
+    return { Assign { item.id, m_targets[*target].published.id } };
 }
 
-Decisions Dispatcher::finished(WorkId work, AttemptOutcome /*outcome*/, Duration /*serviceTime*/, MonotonicTime now)
+Decisions Dispatcher::finished(WorkId work, AttemptOutcome outcome, Duration serviceTime, MonotonicTime now)
 {
     const std::lock_guard lock(m_mutex);
-    const auto running = m_running.find(work);
-    if (running == m_running.end()) {
-        return {};
+    Decisions decisions;
+    const auto found = m_placed.find(work);
+    if (found == m_placed.end() || found->second.isAwaitingPermit) {
+        return decisions;
+    }
+    const Placed placed = std::move(found->second);
+    m_placed.erase(found);
+    Pool &pool = m_pools[placed.item.pool];
+    TargetState &target = m_targets[placed.target];
+    --pool.running;
+    m_admission.release(placed.item.organisation);
+    target.onFinished(outcome, paceOf(placed.item, serviceTime), now);
+    // An attempt that timed out took at least that long; without it only fast attempts would be measured.
+    if (outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::TimedOut) {
+        m_serviceTimes.record(placed.item.pool, placed.item.priorityClass, serviceTime, now);
     }
-    const TargetId target = running->second.target;
-    m_running.erase(running);
-    --m_inFlight[target];
-    const Target *entry = m_table->find(target);
-    return entry == nullptr ? Decisions {} : startWaiting(entry->pool, now);
+    if (placed.hasPermit) {
+        decisions.push_back(ReturnPermit { work, target.published.id, outcome == AttemptOutcome::Succeeded });
+    }
+    observeHealth(placed, outcome, pool, now, decisions);
+    if (placed.isAlone) {
+        pool.endReservation(m_targets, now);
+    }
+    pool.refresh(placed.target, m_targets, now);
+    startWaiting(pool, now, decisions);
+    return decisions;
 }
 
-Decisions Dispatcher::withdraw(WorkId work, MonotonicTime /*now*/)
+Decisions Dispatcher::withdraw(WorkId work, MonotonicTime now)
 {
     const std::lock_guard lock(m_mutex);
-    for (auto &[pool, waiting] : m_waiting) {
-        waiting.erase(std::remove_if(waiting.begin(), waiting.end(), [work](const WorkItem &item) { return item.id == work; }),
-                      waiting.end());
+    Decisions decisions;
+    const auto found = m_placed.find(work);
+    if (found != m_placed.end() && found->second.isAwaitingPermit) {
+        Placed placed = std::move(found->second);
+        m_placed.erase(found);
+        Pool &pool = m_pools[placed.item.pool];
+        m_admission.release(placed.item.organisation);
+        giveBack(std::move(placed), pool, now);
+        startWaiting(pool, now, decisions);
+        return decisions;
     }
-    return {};
+    for (auto &[name, pool] : m_pools) {
+        if (const auto item = pool.waiting.remove(work)) {
+            m_admission.release(item->organisation);
+            break;
+        }
+        const auto suspect =
+            std::find_if(pool.suspects.begin(), pool.suspects.end(), [work](const WorkItem &item) { return item.id == work; });
+        if (suspect != pool.suspects.end()) {
+            m_admission.release(suspect->organisation);
+            pool.suspects.erase(suspect);
+            break;
+        }
+    }
+    return decisions;
 }
 
 Decisions Dispatcher::tick(MonotonicTime now)
 {
     const std::lock_guard lock(m_mutex);
     Decisions decisions;
-    for (auto &[pool, waiting] : m_waiting) {
-        Decisions more = startWaiting(pool, now);
-        decisions.insert(decisions.end(), more.begin(), more.end());
+    const bool hasNewShares = std::exchange(m_hasNewShares, false);
+    for (auto &[name, pool] : m_pools) {
+        for (const WorkItem &item : pool.waiting.removeExpired(now)) {
+            reject(item, { ErrorKind::DeadlineExceeded, Outcome::NotRun, "no target was free in time", MIN_RETRY_AFTER }, decisions);
+        }
+        pool.unblock(m_targets, now);
+        for (const std::size_t target : hasNewShares ? pool.members() : std::vector<std::size_t>()) {
+            pool.refresh(target, m_targets, now);
+        }
+        startWaiting(pool, now, decisions);
     }
     return decisions;
 }
 
-Decisions Dispatcher::onPermit(WorkId /*work*/, const TargetId & /*target*/, bool /*granted*/, MonotonicTime /*now*/)
+Decisions Dispatcher::onPermit(WorkId work, const TargetId &target, bool granted, MonotonicTime now)
 {
-    return {};
+    const std::lock_guard lock(m_mutex);
+    Decisions decisions;
+    const auto found = m_placed.find(work);
+    const bool isExpected =
+        found != m_placed.end() && found->second.isAwaitingPermit && m_targets[found->second.target].published.id == target;
+    if (!isExpected) {
+        if (granted) {
+            decisions.push_back(ReturnPermit { work, target, false });
+        }
+        return decisions;
+    }
+    Placed &placed = found->second;
+    const TargetState &state = m_targets[placed.target];
+    if (granted && state.isPublished && state.published.acceptsWork() && now < placed.item.deadline) {
+        placed.isAwaitingPermit = false;
+        placed.hasPermit = true;
+        placed.startedAt = now;
+        decisions.push_back(Assign { work, target });
+        return decisions;
+    }
+    if (granted) {
+        decisions.push_back(ReturnPermit { work, target, false });
+    }
+    Placed refused = std::move(placed);
+    m_placed.erase(found);
+    Pool &pool = m_pools[refused.item.pool];
+    pool.block(refused.target, m_targets, now + PERMIT_BACKOFF, now);
+    WorkItem item = refused.item;
+    giveBack(std::move(refused), pool, now);
+    const double weight = limitsOf(item.organisation).weight;
+    pool.waiting.push(std::move(item), weight, std::numeric_limits<std::size_t>::max());
+    startWaiting(pool, now, decisions);
+    return decisions;
 }
 
-Decisions Dispatcher::onLoadReport(const TargetId & /*target*/, const LoadReport & /*report*/, MonotonicTime /*now*/)
+Decisions Dispatcher::onLoadReport(const TargetId &target, const LoadReport &report, MonotonicTime now)
 {
-    return {};
+    const std::lock_guard lock(m_mutex);
+    Decisions decisions;
+    const auto found = m_targetIndex.find(target);
+    if (found == m_targetIndex.end()) {
+        return decisions;
+    }
+    TargetState &state = m_targets[found->second];
+    state.reportedQueue = report.queued;
+    if (state.observeIncarnation(report.incarnation)) {
+        append(decisions, m_quarantine.onTargetDead(target));
+    }
+    if (report.cold) {
+        state.markCold();
+    }
+    m_pools[state.published.pool].refresh(found->second, m_targets, now);
+    return decisions;
 }
 
-Decisions Dispatcher::onQuarantine(Fingerprint /*fingerprint*/, QuarantineState /*state*/, MonotonicTime /*now*/)
+Decisions Dispatcher::onQuarantine(Fingerprint fingerprint, QuarantineState state, MonotonicTime now)
 {
+    const std::lock_guard lock(m_mutex);
+    m_quarantine.adopt(fingerprint, state, now);
     return {};
 }
 
 void Dispatcher::adoptShares(DemandShares shares)
 {
+    std::shared_ptr<const TargetTable> table;
+    {
+        const std::lock_guard lock(m_mutex);
+        table = m_table;
+    }
+    const auto parts = sharesOfTargets(*table, shares);
     const std::lock_guard lock(m_mutex);
     m_shares = std::move(shares);
+    applyShares(parts);
+    m_hasNewShares = true;
 }
 
 std::vector<PoolDemand> Dispatcher::demand()
 {
     const std::lock_guard lock(m_mutex);
     std::vector<PoolDemand> demand;
-    for (const auto &[pool, waiting] : m_waiting) {
-        double running = 0;
-        for (const TargetId &target : m_table->pool(pool)) {
-            running += m_inFlight[target];
-        }
-        demand.push_back({ pool, running + static_cast<double>(waiting.size()) });
+    for (const auto &[name, pool] : m_pools) {
+        demand.push_back({ name, static_cast<double>(pool.running + pool.waiting.size() + pool.suspects.size()) });
     }
     return demand;
 }
 
-Decisions Dispatcher::startWaiting(const PoolName &pool, MonotonicTime now)
+std::optional<Refusal> Dispatcher::refusalFor(WorkItem &item, Pool &pool, MonotonicTime now)
 {
-    Decisions decisions;
-    std::deque<WorkItem> &waiting = m_waiting[pool];
-    while (!waiting.empty()) {
-        const WorkItem &item = waiting.front();
-        if (item.deadline <= now) {
-            decisions.push_back(Reject {
-                item.id, { ErrorKind::DeadlineExceeded, Outcome::NotRun, "no target was free in time", std::chrono::seconds(1) } });
-            waiting.pop_front();
+    if (!m_settings || pool.members().empty()) {
+        return Refusal { ErrorKind::NoTargetAvailable, Outcome::NotRun, "pool " + item.pool.value() + " has no target", MIN_RETRY_AFTER };
+    }
+    if (m_quarantine.state(item.fingerprint, now) == QuarantineState::Quarantined) {
+        return Refusal { ErrorKind::Quarantined, Outcome::NotRun, "targets died while they ran this request", {} };
+    }
+    if (item.attempt > 0 && !pool.retries.take()) {
+        return Refusal {
+            ErrorKind::Overloaded, Outcome::NotRun, "the retry budget of pool " + item.pool.value() + " is spent", jittered({})
+        };
+    }
+    if (auto refusal = earlyRefusal(item, pool, now)) {
+        return refusal;
+    }
+    return m_admission.admit(item, limitsOf(item.organisation), now);
+}
+
+std::optional<Refusal> Dispatcher::earlyRefusal(WorkItem &item, const Pool &pool, MonotonicTime now)
+{
+    const auto service = m_serviceTimes.median(item.pool, item.priorityClass);
+    if (!service) {
+        return std::nullopt;
+    }
+    const auto ahead = static_cast<std::int64_t>(pool.hasRoom() ? 0 : pool.waiting.countAhead(item.priorityClass, item.organisation));
+    const auto slots = static_cast<std::int64_t>(std::max<std::size_t>(1, pool.running));
+    const Duration wait = *service * ahead / slots;
+    if (now + wait + m_serviceTimes.remaining(item) <= item.deadline) {
+        return std::nullopt;
+    }
+    item.isProbe = m_serviceTimes.isProbeDue(item.pool, item.priorityClass, now);
+    if (item.isProbe) {
+        return std::nullopt;
+    }
+    return Refusal {
+        ErrorKind::DeadlineUnreachable, Outcome::NotRun, "the remaining stages take longer than the deadline leaves", jittered(wait)
+    };
+}
+
+std::optional<Refusal> Dispatcher::unfitToStart(const WorkItem &item, MonotonicTime now)
+{
+    if (m_quarantine.state(item.fingerprint, now) == QuarantineState::Quarantined) {
+        return Refusal { ErrorKind::Quarantined, Outcome::NotRun, "targets died while they ran this request", {} };
+    }
+    if (item.deadline <= now) {
+        return Refusal { ErrorKind::DeadlineExceeded, Outcome::NotRun, "no target was free in time", MIN_RETRY_AFTER };
+    }
+    const Duration remaining = m_serviceTimes.remaining(item);
+    if (now + remaining > item.deadline && !item.isProbe) {
+        return Refusal {
+            ErrorKind::DeadlineUnreachable, Outcome::NotRun, "a target was free too late for the deadline", jittered(remaining)
+        };
+    }
+    return std::nullopt;
+}
+
+void Dispatcher::startWaiting(Pool &pool, MonotonicTime now, Decisions &decisions)
+{
+    startSuspects(pool, now, decisions);
+    while (pool.hasRoom()) {
+        std::optional<WorkItem> item = pool.waiting.pop();
+        if (!item) {
+            return;
+        }
+        if (auto refusal = unfitToStart(*item, now)) {
+            reject(*item, std::move(*refusal), decisions);
             continue;
         }
-        const std::optional<TargetId> target = chooseTarget(item);
-        if (!target) {
-            break;
+        if (m_quarantine.state(item->fingerprint, now) == QuarantineState::Suspect) {
+            pool.suspects.push_back(std::move(*item));
+            startSuspects(pool, now, decisions);
+            continue;
         }
-        ++m_inFlight[*target];
-        m_running[item.id] = Running { *target };
-        decisions.push_back(Assign { item.id, *target });
-        waiting.pop_front();
+        const std::size_t target = pool.choose(*item, m_targets, m_random);
+        place(std::move(*item), target, false, pool, now, decisions);
     }
-    return decisions;
 }
 
-std::optional<TargetId> Dispatcher::chooseTarget(const WorkItem &item)
+void Dispatcher::startSuspects(Pool &pool, MonotonicTime now, Decisions &decisions)
 {
-    std::optional<TargetId> best;
-    int bestInFlight = 0;
-    for (const TargetId &id : m_table->pool(item.pool)) {
-        const Target *target = m_table->find(id);
-        const int inFlight = m_inFlight[id];
-        if (!target->acceptsWork() || inFlight >= target->limits.concurrency || item.avoid == id) {
+    while (!pool.suspects.empty()) {
+        if (auto refusal = unfitToStart(pool.suspects.front(), now)) {
+            reject(pool.suspects.front(), std::move(*refusal), decisions);
+            pool.suspects.pop_front();
             continue;
         }
-        if (!best || inFlight < bestInFlight) {
-            best = id;
-            bestInFlight = inFlight;
+        const std::optional<std::size_t> target = pool.reserve(m_targets, now);
+        if (!target || m_targets[*target].inFlight > 0) {
+            return;
+        }
+        WorkItem item = std::move(pool.suspects.front());
+        pool.suspects.pop_front();
+        place(std::move(item), *target, true, pool, now, decisions);
+    }
+    pool.endIdleReservation(m_targets, now);
+}
+
+void Dispatcher::place(WorkItem item, std::size_t target, bool isAlone, Pool &pool, MonotonicTime now, Decisions &decisions)
+{
+    TargetState &state = m_targets[target];
+    const bool needsPermit = state.needsPermit();
+    const WorkId work = item.id;
+    state.onStarted();
+    ++pool.running;
+    pool.refresh(target, m_targets, now);
+    if (needsPermit) {
+        decisions.push_back(
+            NeedPermit { work, state.published.id, state.published.incarnation, state.published.limits.coldConcurrency, item.deadline });
+    } else {
+        decisions.push_back(Assign { work, state.published.id });
+    }
+    m_placed.emplace(work, Placed { std::move(item), target, now, needsPermit, false, isAlone });
+}
+
+void Dispatcher::giveBack(Placed placed, Pool &pool, MonotonicTime now)
+{
+    m_targets[placed.target].onDropped();
+    --pool.running;
+    if (placed.isAlone) {
+        pool.endReservation(m_targets, now);
+    }
+    pool.refresh(placed.target, m_targets, now);
+}
+
+void Dispatcher::reject(const WorkItem &item, Refusal refusal, Decisions &decisions)
+{
+    m_admission.release(item.organisation);
+    decisions.push_back(Reject { item.id, std::move(refusal) });
+}
+
+void Dispatcher::observeHealth(const Placed &placed, AttemptOutcome outcome, Pool &pool, MonotonicTime now, Decisions &decisions)
+{
+    TargetState &state = m_targets[placed.target];
+    const TargetId &id = state.published.id;
+    pool.retries.onFinished(outcome);
+    pool.observe(placed.target, m_targets, outcome, m_settings ? m_settings->defaults().ejectionLimit : 0, now);
+    if (outcome == AttemptOutcome::ConnectionLost) {
+        state.lostAt = now;
+        // Operators may end a target that they have taken out; that is no fault of its requests.
+        if (state.isPublished && state.published.acceptsWork()) {
+            m_quarantine.onLost(placed.item.fingerprint, id, now);
+        }
+    }
+    if (outcome == AttemptOutcome::Unreachable) {
+        append(decisions, m_quarantine.onTargetDead(id));
+    }
+    if (outcome != AttemptOutcome::Succeeded) {
+        return;
+    }
+    if (placed.startedAt > state.lostAt) {
+        m_quarantine.onTargetAlive(id);
+    }
+    append(decisions, m_quarantine.onSucceeded(placed.item.fingerprint));
+}
+
+double Dispatcher::paceOf(const WorkItem &item, Duration serviceTime) const
+{
+    const auto median = m_serviceTimes.median(item.pool, item.priorityClass);
+    if (!median || *median <= Duration::zero()) {
+        return 1;
+    }
+    return std::chrono::duration<double>(serviceTime) / std::chrono::duration<double>(*median);
+}
+
+Settings::OrganisationSettings Dispatcher::limitsOf(const OrganisationId &organisation) const
+{
+    const auto found = m_settings->organisations().find(organisation);
+    if (found != m_settings->organisations().end()) {
+        return found->second;
+    }
+    return { organisation, 1, m_settings->defaults().requestsPerSecond, m_settings->defaults().organisationConcurrency };
+}
+
+// Callers that were refused together must not come back together.
+milliseconds Dispatcher::jittered(Duration time)
+{
+    const auto base = std::clamp(std::chrono::duration_cast<milliseconds>(time), MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+    return milliseconds(std::uniform_int_distribution<std::int64_t>(base.count() / 2, base.count() * 3 / 2)(m_random));
+}
+
+void Dispatcher::updateTargets(Decisions &decisions)
+{
+    for (TargetState &state : m_targets) {
+        if (m_table->find(state.published.id) == nullptr) {
+            state.withdraw();
+        }
+    }
+    for (const auto &[id, target] : m_table->targets()) {
+        const auto [entry, isNew] = m_targetIndex.emplace(id, m_targets.size());
+        if (isNew) {
+            m_targets.emplace_back();
+        }
+        TargetState &state = m_targets[entry->second];
+        state.adopt(target);
+        if (state.observeIncarnation(target.incarnation)) {
+            append(decisions, m_quarantine.onTargetDead(id));
+        }
+    }
+}
+
+void Dispatcher::rebuildPools(MonotonicTime now)
+{
+    std::unordered_map<PoolName, std::vector<std::size_t>> members;
+    for (const auto &[name, pool] : m_pools) {
+        members[name];
+    }
+    for (const auto &[id, target] : m_table->targets()) {
+        members[target.pool];
+    }
+    for (auto &[name, indexes] : members) {
+        for (const TargetId &id : m_table->pool(name)) {
+            indexes.push_back(m_targetIndex.at(id));
+        }
+        m_pools[name].rebuild(indexes, m_targets, m_failureDomain, now);
+    }
+}
+
+void Dispatcher::applyShares(const std::unordered_map<TargetId, int> &shares)
+{
+    for (const auto &[id, share] : shares) {
+        const auto found = m_targetIndex.find(id);
+        if (found != m_targetIndex.end()) {
+            m_targets[found->second].setShare(share);
         }
     }
-    return best;
 }
 
 } // namespace CassiaRelay::Routing
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "admission.h"
 #include "decision.h"
 #include "loadreport.h"
+#include "policy.h"
+#include "pool.h"
+#include "quarantine.h"
+#include "servicetimes.h"
 #include "targettable.h"
 #include "workitem.h"
 
-#include <deque>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -38,28 +42,55 @@
     Decisions onLoadReport(const TargetId &target, const LoadReport &report, MonotonicTime now);
     /** What the cell has found out about a request that was aboard a dead target. */
     Decisions onQuarantine(Fingerprint fingerprint, QuarantineState state, MonotonicTime now);
+    /** Takes effect with the next tick. */
     void adoptShares(DemandShares shares);
     /** Running and waiting work by pool, for the other daemons of the cell. */
     std::vector<PoolDemand> demand();
 
 private:
-    struct Running {
-        TargetId target;
+    /** Work that has a slot, or waits for the permit for one. */
+    struct Placed {
+        WorkItem item;
+        std::size_t target = 0;
+        MonotonicTime startedAt;
+        bool isAwaitingPermit = false;
+        bool hasPermit = false;
+        bool isAlone = false;
     };
 
-    Decisions startWaiting(const PoolName &pool, MonotonicTime now);
-    std::optional<TargetId> chooseTarget(const WorkItem &item);
+    Decisions submitUnmanaged(const WorkItem &item, MonotonicTime now);
+    std::optional<Refusal> refusalFor(WorkItem &item, Pool &pool, MonotonicTime now);
+    std::optional<Refusal> earlyRefusal(WorkItem &item, const Pool &pool, MonotonicTime now);
+    std::optional<Refusal> unfitToStart(const WorkItem &item, MonotonicTime now);
+    void startWaiting(Pool &pool, MonotonicTime now, Decisions &decisions);
+    void startSuspects(Pool &pool, MonotonicTime now, Decisions &decisions);
+    void place(WorkItem item, std::size_t target, bool isAlone, Pool &pool, MonotonicTime now, Decisions &decisions);
+    void giveBack(Placed placed, Pool &pool, MonotonicTime now);
+    void reject(const WorkItem &item, Refusal refusal, Decisions &decisions);
+    void observeHealth(const Placed &placed, AttemptOutcome outcome, Pool &pool, MonotonicTime now, Decisions &decisions);
+    double paceOf(const WorkItem &item, Duration serviceTime) const;
+    Settings::OrganisationSettings limitsOf(const OrganisationId &organisation) const;
+    std::chrono::milliseconds jittered(Duration time);
+    void updateTargets(Decisions &decisions);
+    void rebuildPools(MonotonicTime now);
+    void applyShares(const std::unordered_map<TargetId, int> &shares);
 
     std::mutex m_mutex;
     VmId m_self;
     FailureDomain m_failureDomain;
-    DemandShares m_shares;
     RandomSource m_random;
     std::shared_ptr<const TargetTable> m_table;
     std::shared_ptr<const Settings::FleetSettings> m_settings;
-    std::unordered_map<PoolName, std::deque<WorkItem>> m_waiting;
-    std::unordered_map<WorkId, Running> m_running;
-    std::unordered_map<TargetId, int> m_inFlight;
+    Policy m_policy = ManagedPolicy {};
+    Admission m_admission;
+    ServiceTimes m_serviceTimes;
+    Quarantine m_quarantine;
+    std::vector<TargetState> m_targets; ///< entries are never removed, so that indexes stay valid
+    std::unordered_map<TargetId, std::size_t> m_targetIndex;
+    std::unordered_map<PoolName, Pool> m_pools;
+    std::unordered_map<WorkId, Placed> m_placed;
+    DemandShares m_shares;
+    bool m_hasNewShares = false;
 };
 
 } // namespace CassiaRelay::Routing
--- /dev/null
+++ b/src/libs/routing/quarantine.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "decision.h"
+
+#include <unordered_map>
+
+namespace CassiaRelay::Routing {
+
+/**
+ * Requests that were aboard targets that died. After one loss a request is a suspect, after two it is quarantined,
+ * also while the deaths are not confirmed yet.
+ */
+class Quarantine
+{
+public:
+    QuarantineState state(Fingerprint fingerprint, MonotonicTime now);
+    /** An attempt lost its connection while it ran on the target. */
+    void onLost(Fingerprint fingerprint, const TargetId &target, MonotonicTime now);
+    /** The target is dead, or a new process: what was lost with it stays counted. */
+    Decisions onTargetDead(const TargetId &target);
+    /** The target still runs: its losses had another reason. */
+    void onTargetAlive(const TargetId &target);
+    /** The request ended without harm to its target. */
+    Decisions onSucceeded(Fingerprint fingerprint);
+    void adopt(Fingerprint fingerprint, QuarantineState state, MonotonicTime now);
+
+private:
+    struct Entry {
+        std::vector<TargetId> unconfirmed;
+        int deaths = 0;
+        QuarantineState cell = QuarantineState::Cleared;
+        MonotonicTime updatedAt;
+    };
+
+    void forgetOldest();
+
+    std::unordered_map<Fingerprint, Entry> m_entries;
+    std::unordered_map<TargetId, std::vector<Fingerprint>> m_lostOn;
+};
+
+} // namespace CassiaRelay::Routing
--- /dev/null
+++ b/src/libs/routing/retrybudget.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "workitem.h"
+
+namespace CassiaRelay::Routing {
+
+/** Retries of one pool: a part of its first attempts, and none while it refuses most of its work. */
+class RetryBudget
+{
+public:
+    void onFirstAttempt(double ratio);
+    void onFinished(AttemptOutcome outcome);
+    /** @return true when a retry may start, and counts it */
+    bool take();
+
+private:
+    double m_tokens = 10;
+    double m_refusedPart = 0; ///< moving average
+};
+
+} // namespace CassiaRelay::Routing
--- a/src/libs/routing/routing.h
+++ b/src/libs/routing/routing.h
@@ -7,6 +7,7 @@
 
 #include "decision.h"
 #include "dispatcher.h"
+#include "limitshare.h"
 #include "loadreport.h"
 #include "targettable.h"
 #include "workitem.h"
--- /dev/null
+++ b/src/libs/routing/servicetimes.cpp
@@ -0,0 +1,69 @@
+#include "servicetimes.h"
+
+namespace CassiaRelay::Routing {
+
+namespace {
+
+constexpr std::size_t WINDOW_SIZE = 256;
+constexpr std::size_t MIN_COUNT = 8;
+constexpr std::chrono::seconds WINDOW_TIME { 4 };
+constexpr std::chrono::milliseconds PROBE_INTERVAL { 250 };
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+} // namespace
+
+void ServiceTimes::record(const PoolName &pool, int priorityClass, Duration time, MonotonicTime now)
+{
+    Measurements &measurements = measurementsOf(pool, priorityClass, now);
+    measurements.current.quantile(Milliseconds(time).count());
+    ++measurements.current.count;
+    measurements.updatedAt = now;
+}
+
+std::optional<Duration> ServiceTimes::median(const PoolName &pool, int priorityClass) const
+{
+    const auto found = m_measurements.find({ pool, priorityClass });
+    if (found == m_measurements.end()) {
+        return std::nullopt;
+    }
+    const Measurements &measurements = found->second;
+    const Window &window = measurements.current.count >= MIN_COUNT ? measurements.current : measurements.previous;
+    if (window.count < MIN_COUNT) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Duration>(Milliseconds(boost::accumulators::p_square_quantile(window.quantile)));
+}
+
+Duration ServiceTimes::remaining(const WorkItem &item) const
+{
+    Duration total = median(item.pool, item.priorityClass).value_or(Duration::zero());
+    for (const LaterStage &later : item.later) {
+        total += median(later.pool, later.priorityClass).value_or(Duration::zero());
+    }
+    return total;
+}
+
+// Refusing everything by an old measurement would leave nothing to correct it.
+bool ServiceTimes::isProbeDue(const PoolName &pool, int priorityClass, MonotonicTime now)
+{
+    Measurements &measurements = measurementsOf(pool, priorityClass, now);
+    if (now - measurements.updatedAt < PROBE_INTERVAL) {
+        return false;
+    }
+    measurements.updatedAt = now;
+    return true;
+}
+
+// Windows end by time as well, so that a pool that has become fast is not judged by how slow it was.
+ServiceTimes::Measurements &ServiceTimes::measurementsOf(const PoolName &pool, int priorityClass, MonotonicTime now)
+{
+    Measurements &measurements = m_measurements[{ pool, priorityClass }];
+    if (measurements.current.count >= WINDOW_SIZE || now - measurements.startedAt >= WINDOW_TIME) {
+        measurements.previous = std::exchange(measurements.current, Window());
+        measurements.startedAt = now;
+    }
+    return measurements;
+}
+
+} // namespace CassiaRelay::Routing
--- /dev/null
+++ b/src/libs/routing/servicetimes.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "workitem.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <map>
+#include <utility>
+
+namespace CassiaRelay::Routing {
+
+/** Median service time of each pool and class, over the latest attempts; bounded memory. */
+class ServiceTimes
+{
+public:
+    void record(const PoolName &pool, int priorityClass, Duration time, MonotonicTime now);
+    /** Empty until there are enough measurements. */
+    std::optional<Duration> median(const PoolName &pool, int priorityClass) const;
+    /** Time that the stage and the later ones take; stages without measurements count nothing. */
+    Duration remaining(const WorkItem &item) const;
+    /** True when the measurements are too old to refuse work by them; counts the work that is then let through. */
+    bool isProbeDue(const PoolName &pool, int priorityClass, MonotonicTime now);
+
+private:
+    using Quantile = boost::accumulators::accumulator_set<double, boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
+
+    struct Window {
+        Quantile quantile { boost::accumulators::quantile_probability = 0.5 };
+        std::size_t count = 0;
+    };
+
+    struct Measurements {
+        Window current;
+        Window previous;
+        MonotonicTime startedAt; ///< of the current window
+        MonotonicTime updatedAt; ///< last measurement or probe
+    };
+
+    Measurements &measurementsOf(const PoolName &pool, int priorityClass, MonotonicTime now);
+
+    std::map<std::pair<PoolName, int>, Measurements> m_measurements;
+};
+
+} // namespace CassiaRelay::Routing
--- a/src/libs/routing/workitem.h
+++ b/src/libs/routing/workitem.h
@@ -24,12 +24,16 @@
     std::uint64_t affinity = 0;
     Fingerprint fingerprint;
     bool repeatable = true;
+    /** True for the first stage of a request: only there its organisation's limits apply. */
+    bool first = false;
     /** 0 for the first attempt of the stage. */
     int attempt = 0;
     /** The target that failed the last attempt; chosen again only when there is no other. */
     std::optional<TargetId> avoid;
     /** Stages after this one, whose time the deadline must leave. */
     std::vector<LaterStage> later;
+    /** Set by the dispatcher: runs although it seems too late, to renew the measurements. */
+    bool isProbe = false;
 };
 
 /** How an attempt on a target ended. */
--- a/src/libs/settings/fleetsettings.cpp
+++ b/src/libs/settings/fleetsettings.cpp
@@ -25,6 +25,7 @@
     defaults.isolationLimit = milliseconds(raw.isolationLimitMs.value_or(3000));
     defaults.resendWindow = milliseconds(raw.resendWindowMs.value_or(30000));
     defaults.grantRetention = milliseconds(raw.grantRetentionMs.value_or(3600000));
+    defaults.policy = raw.policy.value_or(Schema::PolicyKind::Managed);
     return defaults;
 }
 
--- a/src/libs/settings/fleetsettings.h
+++ b/src/libs/settings/fleetsettings.h
@@ -65,6 +65,7 @@
     std::chrono::milliseconds isolationLimit {};
     std::chrono::milliseconds resendWindow {};
     std::chrono::milliseconds grantRetention {};
+    Schema::PolicyKind policy = Schema::PolicyKind::Managed;
 };
 
 /** The fleet configuration of one revision: immutable, and the same on every daemon. */
