--- a/tests/bench/slopes.cpp
+++ b/tests/bench/slopes.cpp
@@ -104,9 +104,9 @@
 {
     Schema::Heartbeat heartbeat {};
     heartbeat.incarnation = 1733259600000000;
-    heartbeat.configurationRevision = 1000000;
-    heartbeat.vmListRevision = 1000000;
-    heartbeat.targetListRevision = 1000000;
+    heartbeat.config = 1000000;
+    heartbeat.vms = 1000000;
+    heartbeat.targets = 1000000;
     std::cout << "heartbeat, bytes of CBOR\t" << Schema::encode(heartbeat).size() << "\n";
 }
 
