--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -40,6 +40,10 @@
     if (isNewPolicy) {
         m_policy = makePolicy(m_settings->defaults().policy);
     }
+    if (m_settings) {
+        m_unknownOrganisation.requestsPerSecond = m_settings->defaults().requestsPerSecond;
+        m_unknownOrganisation.concurrency = m_settings->defaults().organisationConcurrency;
+    }
     Decisions decisions;
     updateTargets(decisions);
     applyShares(sharesOfTargets(*m_table, m_shares));
@@ -66,6 +70,10 @@
     if (item.attempt == 0) {
         pool.retries.onFirstAttempt(m_settings->defaults().retryBudget);
     }
+    if (pool.waiting.size() == 0 && pool.hasRoom()) {
+        start(std::move(accepted), pool, now, decisions);
+        return decisions;
+    }
     const auto capacity = static_cast<std::size_t>(m_settings->defaults().queueLength);
     if (auto pushedOut = pool.waiting.push(std::move(accepted), limitsOf(item.organisation).weight, capacity)) {
         const Duration wait = m_serviceTimes.remaining(*pushedOut);
@@ -323,18 +331,23 @@
         if (!item) {
             return;
         }
-        if (auto refusal = unfitToStart(*item, now)) {
-            reject(*item, std::move(*refusal), decisions);
-            continue;
-        }
-        if (m_quarantine.state(item->fingerprint, now) == QuarantineState::Suspect) {
-            pool.suspects.push_back(std::move(*item));
-            startSuspects(pool, now, decisions);
-            continue;
-        }
-        const std::size_t target = pool.choose(*item, m_targets, m_random);
-        place(std::move(*item), target, false, pool, now, decisions);
+        start(std::move(*item), pool, now, decisions);
+    }
+}
+
+void Dispatcher::start(WorkItem item, Pool &pool, MonotonicTime now, Decisions &decisions)
+{
+    if (auto refusal = unfitToStart(item, now)) {
+        reject(item, std::move(*refusal), decisions);
+        return;
+    }
+    if (m_quarantine.state(item.fingerprint, now) == QuarantineState::Suspect) {
+        pool.suspects.push_back(std::move(item));
+        startSuspects(pool, now, decisions);
+        return;
     }
+    const std::size_t target = pool.choose(item, m_targets, m_random);
+    place(std::move(item), target, false, pool, now, decisions);
 }
 
 void Dispatcher::startSuspects(Pool &pool, MonotonicTime now, Decisions &decisions)
@@ -423,13 +436,13 @@
     return std::chrono::duration<double>(serviceTime) / std::chrono::duration<double>(*median);
 }
 
-Settings::OrganisationSettings Dispatcher::limitsOf(const OrganisationId &organisation) const
+const Settings::OrganisationSettings &Dispatcher::limitsOf(const OrganisationId &organisation) const
 {
     const auto found = m_settings->organisations().find(organisation);
     if (found != m_settings->organisations().end()) {
         return found->second;
     }
-    return { organisation, 1, m_settings->defaults().requestsPerSecond, m_settings->defaults().organisationConcurrency };
+    return m_unknownOrganisation;
 }
 
 // Callers that were refused together must not come back together.
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -63,13 +63,14 @@
     std::optional<Refusal> earlyRefusal(WorkItem &item, const Pool &pool, MonotonicTime now);
     std::optional<Refusal> unfitToStart(const WorkItem &item, MonotonicTime now);
     void startWaiting(Pool &pool, MonotonicTime now, Decisions &decisions);
+    void start(WorkItem item, Pool &pool, MonotonicTime now, Decisions &decisions);
     void startSuspects(Pool &pool, MonotonicTime now, Decisions &decisions);
     void place(WorkItem item, std::size_t target, bool isAlone, Pool &pool, MonotonicTime now, Decisions &decisions);
     void giveBack(Placed placed, Pool &pool, MonotonicTime now);
     void reject(const WorkItem &item, Refusal refusal, Decisions &decisions);
     void observeHealth(const Placed &placed, AttemptOutcome outcome, Pool &pool, MonotonicTime now, Decisions &decisions);
     double paceOf(const WorkItem &item, Duration serviceTime) const;
-    Settings::OrganisationSettings limitsOf(const OrganisationId &organisation) const;
+    const Settings::OrganisationSettings &limitsOf(const OrganisationId &organisation) const;
     std::chrono::milliseconds jittered(Duration time);
     void updateTargets(Decisions &decisions);
     void rebuildPools(MonotonicTime now);
@@ -81,6 +82,7 @@
     RandomSource m_random;
     std::shared_ptr<const TargetTable> m_table;
     std::shared_ptr<const Settings::FleetSettings> m_settings;
+    Settings::OrganisationSettings m_unknownOrganisation; ///< limits of those that the settings don't name
     Policy m_policy = ManagedPolicy {};
     Admission m_admission;
     ServiceTimes m_serviceTimes;
