--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -113,7 +113,7 @@
     TargetState &target = m_targets[placed.target];
     --pool.running;
     m_admission.release(placed.item.organisation);
-    target.onFinished(outcome, paceOf(placed.item, serviceTime), now);
+    target.onFinished(outcome, m_serviceTimes.pace(placed.item, serviceTime), now);
     // An attempt that timed out took at least that long; without it only fast attempts would be measured.
     if (outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::TimedOut) {
         m_serviceTimes.record(placed.item.pool, placed.item.priorityClass, serviceTime, now);
@@ -427,15 +427,6 @@
     append(decisions, m_quarantine.onSucceeded(placed.item.fingerprint));
 }
 
-double Dispatcher::paceOf(const WorkItem &item, Duration serviceTime) const
-{
-    const auto median = m_serviceTimes.median(item.pool, item.priorityClass);
-    if (!median || *median <= Duration::zero()) {
-        return 1;
-    }
-    return std::chrono::duration<double>(serviceTime) / std::chrono::duration<double>(*median);
-}
-
 const Settings::OrganisationSettings &Dispatcher::limitsOf(const OrganisationId &organisation) const
 {
     const auto found = m_settings->organisations().find(organisation);
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -69,7 +69,6 @@
     void giveBack(Placed placed, Pool &pool, MonotonicTime now);
     void reject(const WorkItem &item, Refusal refusal, Decisions &decisions);
     void observeHealth(const Placed &placed, AttemptOutcome outcome, Pool &pool, MonotonicTime now, Decisions &decisions);
-    double paceOf(const WorkItem &item, Duration serviceTime) const;
     const Settings::OrganisationSettings &limitsOf(const OrganisationId &organisation) const;
     std::chrono::milliseconds jittered(Duration time);
     void updateTargets(Decisions &decisions);
--- a/src/libs/routing/servicetimes.cpp
+++ b/src/libs/routing/servicetimes.cpp
@@ -44,6 +44,15 @@
     return total;
 }
 
+double ServiceTimes::pace(const WorkItem &item, Duration serviceTime) const
+{
+    const auto typical = median(item.pool, item.priorityClass);
+    if (!typical || *typical <= Duration::zero()) {
+        return 1;
+    }
+    return std::chrono::duration<double>(serviceTime) / std::chrono::duration<double>(*typical);
+}
+
 // Refusing everything by an old measurement would leave nothing to correct it.
 bool ServiceTimes::isProbeDue(const PoolName &pool, int priorityClass, MonotonicTime now)
 {
--- a/src/libs/routing/servicetimes.h
+++ b/src/libs/routing/servicetimes.h
@@ -20,6 +20,8 @@
     std::optional<Duration> median(const PoolName &pool, int priorityClass) const;
     /** Time that the stage and the later ones take; stages without measurements count nothing. */
     Duration remaining(const WorkItem &item) const;
+    /** Service time relative to the median; 1 without measurements. */
+    double pace(const WorkItem &item, Duration serviceTime) const;
     /** True when the measurements are too old to refuse work by them; counts the work that is then let through. */
     bool isProbeDue(const PoolName &pool, int priorityClass, MonotonicTime now);
 
--- a/tests/auto/routing/tst_dispatcher.cpp
+++ b/tests/auto/routing/tst_dispatcher.cpp
@@ -69,7 +69,7 @@
     }
 
     /** Grants every permit until nothing more is asked for; returns what started. */
-    std::vector<Assign> grantAll(Decisions decisions)
+    std::vector<Assign> grantAll(const Decisions &decisions)
     {
         std::vector<Assign> started = all<Assign>(decisions);
         for (const NeedPermit &need : all<NeedPermit>(decisions)) {
