Bound the nesting of peer messages and fuzz what comes in from outside

A CBOR message of half a megabyte of nested arrays overflowed the stack, and the first message on a peer link is decoded before the peer is known. It was found while the harnesses were written, by a program that decodes 500,000 nested arrays (exit code 139), not by the fuzzer.

--- a/cmake/CassiaRelayTargets.cmake
+++ b/cmake/CassiaRelayTargets.cmake
@@ -1,10 +1,15 @@
 # Helpers that give every package of the workspace the same compiler settings.
 
 option(CASSIARELAY_SANITIZE "Sanitizers to build with: address,undefined or thread" "")
+option(CASSIARELAY_FUZZERS "Build the libFuzzer harnesses; needs clang" OFF)
 
 function(cassiarelay_compile_options name)
     target_compile_features(${name} PUBLIC cxx_std_17)
     target_compile_options(${name} PRIVATE -Wall -Wextra -Wshadow -Wpedantic -Werror)
+    if(CASSIARELAY_FUZZERS)
+        target_compile_options(${name} PUBLIC -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined)
+        target_link_options(${name} PUBLIC -fsanitize=address,undefined)
+    endif()
     if(CASSIARELAY_SANITIZE)
         target_compile_options(${name} PUBLIC -fsanitize=${CASSIARELAY_SANITIZE} -fno-omit-frame-pointer -g)
         target_link_options(${name} PUBLIC -fsanitize=${CASSIARELAY_SANITIZE})
--- a/src/libs/schema/codec.cpp
+++ b/src/libs/schema/codec.cpp
@@ -1,5 +1,7 @@
 #include "codec.h"
 
+#include "boundedjson.h"
+
 #include <common/common.h>
 
 namespace CassiaRelay::Schema {
@@ -46,7 +48,7 @@
 std::optional<PeerMessage> decode(std::string_view bytes)
 {
     try {
-        const json document = json::from_cbor(bytes);
+        const json document = parseBoundedCbor(bytes);
         if (!document.is_object() || document.size() != 1) {
             throw Error(ErrorKind::BadRequest, "peer message is not an object with one field");
         }
