--- a/src/tools/cassiarelay/command.cpp
+++ b/src/tools/cassiarelay/command.cpp
@@ -127,8 +127,9 @@
 
 std::string helpText(const Command &command)
 {
-    return "Usage: " + std::string(PROGRAM) + " " + synopsis(command) + "\n\n" + command.summary + "\n\nExample:\n    " + command.example
-        + "\n";
+    const std::string options = command.options.empty() ? "" : " " + command.options;
+    return "Usage: " + std::string(PROGRAM) + " " + synopsis(command) + options + "\n\n" + command.summary + "\n\nExample:\n    "
+        + command.example + "\n";
 }
 
 ExitCode runCommandLine(const std::vector<std::string> &commandLine,
--- a/src/tools/cassiarelay/command.h
+++ b/src/tools/cassiarelay/command.h
@@ -31,6 +31,7 @@
     std::string summary;
     std::string example;
     std::function<ExitCode(const CommandContext &)> run;
+    std::string options {}; ///< those that it needs or takes, for help
 };
 
 /** Commands that ask a daemon for its state. */
--- a/src/tools/cassiarelay/configcommands.cpp
+++ b/src/tools/cassiarelay/configcommands.cpp
@@ -99,7 +99,8 @@
           { "FILE" },
           "Shows which default or exception decides each value, with its reason.",
           "cassiarelay config explain fleet.json --target models-hann-1 --targets targets.json",
-          explain },
+          explain,
+          "(--target T (--targets FILE | --pool P --domain D) | --organisation O | --pipeline P | --domain D)" },
     };
 }
 
--- a/src/tools/cassiarelay/domaincommands.cpp
+++ b/src/tools/cassiarelay/domaincommands.cpp
@@ -74,12 +74,14 @@
           { "NAME" },
           "Prints the fleet configuration that takes a failure domain out; nothing is written.",
           "cassiarelay domain out hann --reason 'cooling repair until 18:00' > fleet.json",
-          takeOut },
+          takeOut,
+          "--reason TEXT [--config FILE]" },
         { "domain in",
           { "NAME" },
           "Prints the fleet configuration that brings a failure domain back; nothing is written.",
           "cassiarelay domain in hann > fleet.json",
-          takeIn },
+          takeIn,
+          "[--config FILE]" },
     };
 }
 
--- a/tests/auto/tools/tst_commands.cpp
+++ b/tests/auto/tools/tst_commands.cpp
@@ -82,6 +82,7 @@
         BOOST_TEST(contains(result.output, "Example:\n    cassiarelay "));
         BOOST_TEST(contains(command.example, command.name));
     }
+    BOOST_TEST(contains(run({ "domain", "out", "--help" }).output, "domain out NAME --reason TEXT [--config FILE]"));
     const auto description = Tool::optionsDescription();
     for (const auto &option : description.options()) {
         BOOST_TEST(contains(completion, "--" + option->long_name()));
