Quorum grants, isolation, demand, quarantine and drain between daemons, with stateful fuzzing

Cause: non-repeatable stages need a decision of the cell that survives restarts, partitions and changes of the VM list. Change: views and seasoning, granters' ledger, claims that attach to and replay from other holders; documents that are refused stay refused; isolation, demand in heartbeats, quarantine and hand-over on drain. The fuzzer found that a member of an older view that is gone for good kept the cell from recovering; such views are outlived after the resend window.

--- /dev/null
+++ b/src/libs/fleet/contact.cpp
@@ -0,0 +1,50 @@
+#include "contact.h"
+
+namespace CassiaRelay::Fleet {
+
+void Contact::setLimit(std::chrono::milliseconds limit)
+{
+    m_limit = limit;
+}
+
+void Contact::start(MonotonicTime now)
+{
+    if (m_platform == MonotonicTime {}) {
+        m_platform = now;
+    }
+}
+
+void Contact::onPlatform(MonotonicTime now)
+{
+    m_platform = now;
+}
+
+void Contact::onPeer(const VmId &vm, MonotonicTime now)
+{
+    m_peers[vm] = now;
+}
+
+bool Contact::isHeard(const VmId &vm, MonotonicTime now) const
+{
+    const auto found = m_peers.find(vm);
+    return found != m_peers.end() && isRecent(found->second, now);
+}
+
+bool Contact::isIsolated(const VmId &self, const Members &members, MonotonicTime now) const
+{
+    if (isRecent(m_platform, now)) {
+        return false;
+    }
+    std::size_t heard = 0;
+    for (const VmId &vm : members) {
+        heard += vm == self || isHeard(vm, now) ? 1 : 0;
+    }
+    return heard * 2 < members.size() || members.empty();
+}
+
+bool Contact::isRecent(MonotonicTime time, MonotonicTime now) const
+{
+    return now - time <= m_limit;
+}
+
+} // namespace CassiaRelay::Fleet
--- /dev/null
+++ b/src/libs/fleet/demandtable.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "contact.h"
+#include "demand.h"
+
+#include <optional>
+
+namespace CassiaRelay::Fleet {
+
+/** Demand of every member of the cell, as it last said. */
+class DemandTable
+{
+public:
+    void setOwn(std::vector<PoolDemand> demand);
+    void onPeer(const VmId &vm, const std::vector<Schema::PoolDemandEntry> &demand);
+    std::vector<Schema::PoolDemandEntry> own() const;
+    /** The whole table when it differs from what was returned before. */
+    std::optional<DemandChanged> changes(const VmId &self, const Members &members, const Contact &contact, MonotonicTime now);
+
+private:
+    struct Load {
+        double demand = 0;
+        bool heard = false;
+        friend bool operator==(const Load &left, const Load &right)
+        {
+            return left.demand == right.demand && left.heard == right.heard;
+        }
+    };
+    using Table = std::map<PoolName, std::map<VmId, Load>>;
+
+    std::vector<PoolDemand> m_own;
+    std::map<VmId, std::map<PoolName, double>> m_peers;
+    Table m_last;
+};
+
+} // namespace CassiaRelay::Fleet
--- a/src/libs/fleet/fleet.h
+++ b/src/libs/fleet/fleet.h
@@ -10,6 +10,7 @@
 #include "documentstore.h"
 #include "fleetnode.h"
 #include "grant.h"
+#include "grantrules.h"
 #include "output.h"
 #include "permit.h"
 #include "quarantinestate.h"
--- a/src/libs/fleet/fleetnode.h
+++ b/src/libs/fleet/fleetnode.h
@@ -1,9 +1,15 @@
 #pragma once
 
 #include "cell.h"
+#include "contact.h"
+#include "demandtable.h"
 #include "documentstore.h"
+#include "grantclaims.h"
+#include "grantledger.h"
+#include "membership.h"
 #include "output.h"
 #include "permit.h"
+#include "quarantine.h"
 
 #include <functional>
 #include <map>
@@ -24,7 +30,7 @@
     /** Throws Error for a document that must not come into force. */
     using DocumentCheck = std::function<void(const Schema::Document &)>;
 
-    FleetNode(VmId self, Incarnation incarnation, DocumentCheck check);
+    FleetNode(VmId self, Incarnation incarnation, DocumentCheck check, GrantRules rules = {});
 
     /** A document as the platform serves it; an older revision than the one in force is ignored. */
     Outputs onDocument(const Schema::Document &document, MonotonicTime now);
@@ -64,15 +70,31 @@
     /** How long the outcome of a grant is kept. */
     void setGrantRetention(std::chrono::milliseconds retention);
 
+    /** Whether this daemon remembers every grant of the earlier views. */
+    bool isSeasoned() const;
+    /** Whether this process has been seasoned in any view. */
+    bool wasSeasoned() const;
+    /** Grants that this daemon remembers as a granter. */
+    std::size_t grantRecords() const;
+
     std::shared_ptr<const Cell> cell() const;
     const DocumentStore &documents() const;
     const std::map<VmId, PeerState> &peers() const;
 
 private:
+    void setNow(MonotonicTime now);
+    Outputs route(Outputs outputs, MonotonicTime now);
+    Outputs dispatch(const VmId &from, const Schema::PeerMessage &message, MonotonicTime now);
+    Outputs onViewAnswer(const VmId &from, const Schema::ViewAnswer &answer, MonotonicTime now);
+    Outputs onGrantRequest(const VmId &from, const Schema::GrantRequest &request, MonotonicTime now);
     Outputs onHeartbeat(const VmId &from, const Schema::Heartbeat &heartbeat, MonotonicTime now);
     Outputs onDocumentRequest(const VmId &from, const Schema::DocumentRequest &request) const;
-    void requestNewer(const VmId &from, std::string_view key, std::int64_t offered, Outputs &outputs) const;
-    Schema::Heartbeat heartbeat() const;
+    void requestNewer(const VmId &from, std::string_view key, std::int64_t offered, Outputs &outputs);
+    Schema::Heartbeat heartbeat(bool withDemand) const;
+    Outputs heartbeats(bool withDemand) const;
+    Outputs adopt(const Schema::Document &document);
+    Outputs handOverRecords(MonotonicTime now) const;
+    bool haveDocumentsOfPeers(MonotonicTime now) const;
 
     VmId m_self;
     Incarnation m_incarnation;
@@ -81,6 +103,19 @@
     std::shared_ptr<const Cell> m_cell = std::make_shared<const Cell>();
     std::map<VmId, PeerState> m_peers;
     MonotonicTime m_nextHeartbeat;
+    std::uint64_t m_heartbeatsSent = 0;
+    MonotonicTime m_lastTick;
+    WallTime m_lastWall;
+    Membership m_membership;
+    GrantLedger m_ledger;
+    GrantClaims m_claims;
+    Contact m_contact;
+    DemandTable m_demand;
+    Quarantine m_quarantine;
+    std::map<std::string, std::int64_t> m_offered; ///< highest revision of each document at any peer
+    MonotonicTime m_firstList;
+    bool m_ready = false;
+    bool m_draining = false;
 };
 
 } // namespace CassiaRelay::Fleet
--- /dev/null
+++ b/src/libs/fleet/membership.cpp
@@ -0,0 +1,322 @@
+#include "membership.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace CassiaRelay::Fleet {
+
+namespace {
+
+constexpr std::chrono::milliseconds PULL_INTERVAL { 200 };
+/** Largest difference of the wall clocks of callers and VMs that the age of a key allows for. */
+constexpr std::chrono::seconds CLOCK_SKEW { 5 };
+
+std::int64_t toUnixMs(WallTime time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+} // namespace
+
+Membership::Membership(VmId self, Incarnation incarnation, GrantRules rules)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_rules(rules)
+{
+}
+
+void Membership::setTime(MonotonicTime now, WallTime wall)
+{
+    m_now = now;
+    m_wall = wall;
+    if (!m_started) {
+        m_started = now;
+        m_adoptedAt = now;
+        m_oldestKey = wall + CLOCK_SKEW;
+    }
+}
+
+void Membership::setResendWindow(std::chrono::milliseconds window)
+{
+    m_resendWindow = window;
+}
+
+void Membership::learn(std::int64_t revision, const Members &members)
+{
+    // Views before the last seasoned one are vouched for already.
+    if (revision >= m_lastSeasoned) {
+        m_views.emplace(revision, members);
+    }
+    if (revision <= m_revision) {
+        return;
+    }
+    m_revision = revision;
+    m_adoptedAt = m_now;
+    m_answers.clear();
+    m_closedAt.reset();
+    m_nextPull = m_now;
+}
+
+std::int64_t Membership::revision() const
+{
+    return m_revision;
+}
+
+const Members &Membership::members() const
+{
+    static const Members NONE;
+    const auto found = m_views.find(m_revision);
+    return found == m_views.end() ? NONE : found->second;
+}
+
+std::size_t Membership::majority() const
+{
+    return members().size() / 2 + 1;
+}
+
+bool Membership::isSeasoned() const
+{
+    return m_revision > 0 && m_lastSeasoned == m_revision;
+}
+
+bool Membership::wasSeasoned() const
+{
+    return m_firstSeasoned > 0;
+}
+
+bool Membership::mayGrant(std::optional<WallTime> issued) const
+{
+    if (!m_rules.seasonedOnly) {
+        return true;
+    }
+    if (isSeasoned()) {
+        return !isTooOld(issued);
+    }
+    // A key issued after all earlier views were closed cannot have been granted in one of them.
+    return m_closedAt && issued && *issued > m_closedWall + CLOCK_SKEW && *issued < m_wall + CLOCK_SKEW;
+}
+
+bool Membership::isTooOld(std::optional<WallTime> issued) const
+{
+    return issued && *issued < m_oldestKey;
+}
+
+std::optional<MonotonicTime> Membership::closedSince() const
+{
+    return m_closedAt;
+}
+
+std::vector<Schema::VmIncarnation> Membership::knownIncarnations() const
+{
+    std::vector<Schema::VmIncarnation> known;
+    for (const auto &[vm, incarnation] : m_knownIncarnations) {
+        known.push_back({ incarnation, vm.value() });
+    }
+    return known;
+}
+
+Outputs Membership::tick(MonotonicTime now)
+{
+    if (members().count(m_self) == 0 || now < m_nextPull || (isSeasoned() && m_closedAt)) {
+        return {};
+    }
+    m_nextPull = now + PULL_INTERVAL;
+    evaluate();
+    Members asked;
+    for (const auto &[revision, members] : m_views) {
+        asked.insert(members.begin(), members.end());
+    }
+    asked.erase(m_self);
+    Outputs outputs;
+    for (const VmId &vm : asked) {
+        outputs.push_back(SendMessage { vm, Schema::ViewPull { static_cast<std::int64_t>(m_incarnation.value()), m_revision, views() } });
+    }
+    return outputs;
+}
+
+Outputs Membership::onPull(const VmId &from, const Schema::ViewPull &pull, const std::vector<Schema::GrantRecord> &records)
+{
+    learn(pull.views);
+    if (m_rules.exactView && m_revision > pull.revision) {
+        return { SendMessage { from, Schema::ViewNews { views() } } };
+    }
+    if (m_revision < pull.revision) {
+        return {};
+    }
+    std::int64_t &known = m_knownIncarnations[from];
+    known = std::max(known, pull.incarnation);
+    const Answer own = ownAnswer();
+    Schema::ViewAnswer answer;
+    answer.revision = pull.revision;
+    answer.pullerIncarnation = pull.incarnation;
+    answer.incarnation = static_cast<std::int64_t>(m_incarnation.value());
+    answer.firstSeasoned = own.firstSeasoned;
+    answer.lastSeasoned = own.lastSeasoned;
+    answer.uptimeMs = own.uptime.count();
+    answer.oldestKeyMs = toUnixMs(own.oldestKey);
+    answer.records = records;
+    answer.views = views();
+    return { SendMessage { from, answer } };
+}
+
+void Membership::onNews(const Schema::ViewNews &news)
+{
+    learn(news.views);
+}
+
+bool Membership::onAnswer(const VmId &from, const Schema::ViewAnswer &answer)
+{
+    if (answer.pullerIncarnation != static_cast<std::int64_t>(m_incarnation.value())) {
+        return false;
+    }
+    learn(answer.views);
+    if (answer.revision != m_revision) {
+        return false;
+    }
+    m_answers[from] = { answer.firstSeasoned,
+                        answer.lastSeasoned,
+                        std::chrono::milliseconds(answer.uptimeMs),
+                        WallTime(std::chrono::milliseconds(answer.oldestKeyMs)) };
+    return true;
+}
+
+void Membership::learn(const std::vector<Schema::CellView> &views)
+{
+    for (const Schema::CellView &view : views) {
+        Members members;
+        for (const std::string &vm : view.members) {
+            members.insert(VmId(vm));
+        }
+        learn(view.revision, members);
+    }
+}
+
+std::vector<Schema::CellView> Membership::views() const
+{
+    std::vector<Schema::CellView> views;
+    for (const auto &[revision, members] : m_views) {
+        Schema::CellView view;
+        view.revision = revision;
+        for (const VmId &vm : members) {
+            view.members.push_back(vm.value());
+        }
+        views.push_back(view);
+    }
+    return views;
+}
+
+std::map<VmId, Membership::Answer> Membership::answers() const
+{
+    std::map<VmId, Answer> answers = m_answers;
+    answers[m_self] = ownAnswer();
+    return answers;
+}
+
+Membership::Answer Membership::ownAnswer() const
+{
+    const auto uptime =
+        m_started ? std::chrono::duration_cast<std::chrono::milliseconds>(m_now - *m_started) : std::chrono::milliseconds(0);
+    return { m_firstSeasoned, m_lastSeasoned, uptime, m_oldestKey };
+}
+
+// The latest view in which an answerer was seasoned; without one, every known view can have granted.
+std::int64_t Membership::base() const
+{
+    std::int64_t base = 0;
+    for (const auto &[vm, answer] : answers()) {
+        base = std::max(base, answer.lastSeasoned);
+    }
+    return m_rules.chainOfViews ? base : m_revision;
+}
+
+bool Membership::vouches(const Answer &answer, std::int64_t revision, Voucher voucher) const
+{
+    const bool seasoned = answer.firstSeasoned > 0 && answer.firstSeasoned <= revision;
+    const bool old = answer.uptime >= m_resendWindow;
+    return seasoned || voucher == Voucher::Any || (voucher == Voucher::SeasonedOrOld && old);
+}
+
+bool Membership::isChainComplete(Voucher voucher) const
+{
+    const std::int64_t first = base();
+    // When nobody remembers an earlier view, a silent member may: all have to answer.
+    if (first == 0 && (voucher == Voucher::Seasoned || !haveAnswered(members()))) {
+        return false;
+    }
+    for (const auto &[revision, members] : m_views) {
+        if (revision >= first && revision <= m_revision && !isVouchedFor(revision, members, voucher)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool Membership::isVouchedFor(std::int64_t revision, const Members &members, Voucher voucher) const
+{
+    // A member that has voted before and remembers it needs nobody's word for the current view.
+    if (revision == m_revision && m_firstSeasoned > 0 && voucher != Voucher::Any) {
+        return true;
+    }
+    std::size_t vouchers = 0;
+    for (const auto &[vm, answer] : answers()) {
+        const bool ownWord = vm == m_self && revision == m_revision && voucher == Voucher::Seasoned;
+        if (!ownWord && members.count(vm) > 0 && vouches(answer, revision, voucher)) {
+            ++vouchers;
+        }
+    }
+    return vouchers >= members.size() / 2 + 1 || (voucher == Voucher::SeasonedOrOld && isOutlived(revision, members));
+}
+
+// VMs off the list are stopped, and what they have granted is not sent again after the window.
+bool Membership::isOutlived(std::int64_t revision, const Members &members) const
+{
+    if (revision == m_revision || m_now - m_adoptedAt < m_resendWindow) {
+        return false;
+    }
+    Members remaining;
+    std::set_intersection(
+        members.begin(), members.end(), this->members().begin(), this->members().end(), std::inserter(remaining, remaining.end()));
+    return haveAnswered(remaining);
+}
+
+bool Membership::haveAnswered(const Members &members) const
+{
+    return std::all_of(members.begin(), members.end(), [this](const VmId &vm) { return vm == m_self || m_answers.count(vm) > 0; });
+}
+
+void Membership::evaluate()
+{
+    if (!m_started || members().count(m_self) == 0) {
+        return;
+    }
+    if (!m_closedAt && isChainComplete(Voucher::Any)) {
+        m_closedAt = m_now;
+        m_closedWall = m_wall;
+    }
+    if (isSeasoned()) {
+        return;
+    }
+    for (const Voucher voucher : { Voucher::Seasoned, Voucher::SeasonedOrOld }) {
+        if (isChainComplete(voucher)) {
+            becomeSeasoned(voucher);
+            return;
+        }
+    }
+}
+
+void Membership::becomeSeasoned(Voucher voucher)
+{
+    // Keys older than the memory of a member whose word was used may have been forgotten.
+    WallTime oldest = m_firstSeasoned > 0 || voucher == Voucher::SeasonedOrOld ? m_oldestKey : WallTime {};
+    for (const auto &[vm, answer] : m_answers) {
+        if (voucher == Voucher::SeasonedOrOld || answer.firstSeasoned > 0) {
+            oldest = std::max(oldest, answer.oldestKey);
+        }
+    }
+    m_oldestKey = oldest;
+    m_firstSeasoned = m_firstSeasoned > 0 ? m_firstSeasoned : m_revision;
+    m_lastSeasoned = m_revision;
+    m_views.erase(m_views.begin(), m_views.lower_bound(m_revision));
+}
+
+} // namespace CassiaRelay::Fleet
--- /dev/null
+++ b/tests/auto/fleet/testcell.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <fleet/fleet.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace CassiaRelay::Fleet {
+
+/** Daemons that hear each other at once, except for those that are cut off or stopped. */
+class TestCell
+{
+public:
+    FleetNode &add(
+        const std::string &vm, GrantRules rules = {}, const FleetNode::DocumentCheck &check = [](const Schema::Document &) {});
+    void remove(const std::string &vm);
+    FleetNode &node(const std::string &vm);
+    /** The daemon reads a VM list with these members. */
+    void readList(const std::string &vm, std::int64_t revision, const std::set<std::string> &members);
+    void cut(const std::set<std::string> &side);
+    void heal();
+    void run(std::chrono::milliseconds time);
+    void perform(const std::string &vm, const Outputs &outputs);
+
+    ClaimId claim(const std::string &vm, const std::string &key, std::uint64_t body = 1);
+    void finish(const std::string &vm, ClaimId claim, GrantEnd end, const std::string &result);
+    /** nullptr while the claim waits. */
+    const GrantDecision *decision(ClaimId claim) const;
+    bool isHeld(ClaimId claim) const;
+    const std::string *replay(ClaimId claim) const;
+    const Refusal *refusal(ClaimId claim) const;
+
+    MonotonicTime now() const;
+    WallTime wall() const;
+    std::map<Fingerprint, QuarantineState> &quarantine(const std::string &vm);
+    const DemandChanged &demand(const std::string &vm);
+    std::size_t sentBytes(const std::string &vm) const;
+
+private:
+    struct Envelope {
+        VmId from;
+        VmId to;
+        Schema::PeerMessage message;
+    };
+
+    void deliver();
+
+    MonotonicTime m_now { std::chrono::hours(1) };
+    std::uint64_t m_lastIncarnation = 0;
+    std::uint64_t m_lastClaim = 0;
+    std::map<std::string, std::unique_ptr<FleetNode>> m_nodes;
+    std::set<std::string> m_cut;
+    std::deque<Envelope> m_messages;
+    std::map<std::uint64_t, GrantDecision> m_decisions;
+    std::map<std::string, std::map<Fingerprint, QuarantineState>> m_quarantine;
+    std::map<std::string, DemandChanged> m_demand;
+    std::map<std::string, std::size_t> m_sentBytes;
+};
+
+} // namespace CassiaRelay::Fleet
