--- a/tests/auto/fleet/testcell.cpp
+++ b/tests/auto/fleet/testcell.cpp
@@ -65,6 +65,7 @@
         std::visit(Overloaded {
                        [&](const SendMessage &send) {
                            m_sentBytes[vm] += Schema::encode(send.message).size();
+                           count(send.message);
                            m_messages.push_back({ VmId(vm), send.to, send.message });
                        },
                        [&](const GrantDecided &decided) { m_decisions[decided.claim.value()] = decided.decision; },
@@ -137,6 +138,26 @@
     return m_sentBytes.at(vm);
 }
 
+const std::map<std::string, std::size_t> &TestCell::sentKinds() const
+{
+    return m_sentKinds;
+}
+
+std::size_t TestCell::grantBytes() const
+{
+    return m_grantBytes;
+}
+
+void TestCell::count(const Schema::PeerMessage &message)
+{
+    const std::string bytes = Schema::encode(message);
+    const std::string kind = nlohmann::json::from_cbor(bytes).begin().key();
+    if (kind.rfind("grant", 0) == 0) {
+        ++m_sentKinds[kind];
+        m_grantBytes += bytes.size();
+    }
+}
+
 void TestCell::deliver()
 {
     while (!m_messages.empty()) {
--- a/tests/auto/fleet/testcell.h
+++ b/tests/auto/fleet/testcell.h
@@ -37,6 +37,9 @@
     std::map<Fingerprint, QuarantineState> &quarantine(const std::string &vm);
     const DemandChanged &demand(const std::string &vm);
     std::size_t sentBytes(const std::string &vm) const;
+    /** Messages about grants that all daemons have sent to others, by kind. */
+    const std::map<std::string, std::size_t> &sentKinds() const;
+    std::size_t grantBytes() const;
 
 private:
     struct Envelope {
@@ -46,6 +49,7 @@
     };
 
     void deliver();
+    void count(const Schema::PeerMessage &message);
 
     MonotonicTime m_now { std::chrono::hours(1) };
     std::uint64_t m_lastIncarnation = 0;
@@ -57,6 +61,8 @@
     std::map<std::string, std::map<Fingerprint, QuarantineState>> m_quarantine;
     std::map<std::string, DemandChanged> m_demand;
     std::map<std::string, std::size_t> m_sentBytes;
+    std::map<std::string, std::size_t> m_sentKinds;
+    std::size_t m_grantBytes = 0;
 };
 
 } // namespace CassiaRelay::Fleet
--- a/tests/auto/fleet/tst_grants.cpp
+++ b/tests/auto/fleet/tst_grants.cpp
@@ -45,6 +45,33 @@
     BOOST_TEST(*cell.replay(later) == "\"booked\"");
 }
 
+BOOST_AUTO_TEST_CASE(grantTakesOneExchangeWithEachMember)
+{
+    for (const std::size_t size : { 3U, 7U, 12U }) {
+        Names members;
+        for (std::size_t index = 0; index < size; ++index) {
+            members.insert("vm" + std::to_string(index));
+        }
+        TestCell cell;
+        startCell(cell, members);
+        const std::map<std::string, std::size_t> before = cell.sentKinds();
+        const std::size_t bytes = cell.grantBytes();
+        const ClaimId claim = cell.claim("vm0", "018f2d5e-7a10-7000-8000-000000000001");
+        cell.run(1s);
+        BOOST_TEST(cell.isHeld(claim));
+        cell.finish("vm0", claim, GrantEnd::Succeeded, "\"booked\"");
+        cell.run(1s);
+        std::map<std::string, std::size_t> sent = cell.sentKinds();
+        for (const auto &[kind, count] : before) {
+            sent[kind] -= count;
+        }
+        BOOST_TEST(sent["grantRequest"] <= size);
+        BOOST_TEST(sent["grantFinish"] == size - 1);
+        BOOST_TEST(sent["grantRelease"] == 0U);
+        BOOST_TEST_MESSAGE("bytes of a grant in a cell of " << size << ": " << cell.grantBytes() - bytes);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refusesAnotherBody)
 {
     TestCell cell;
