Permits from the steward of a cold target

Change: the steward, first by rendezvous hash in the view, bounds the outstanding permits; asks are answered only in the same view, and a new steward waits 1.5 s for the holders to report what they hold. Open: stewardship is not a lease on the grant quorum yet; see docs/design/leases.md.

--- a/src/app/cassiarelayd/requestdriver.cpp
+++ b/src/app/cassiarelayd/requestdriver.cpp
@@ -116,7 +116,7 @@
         perform(m_machine.onFailed(action.attempt, { Routing::AttemptOutcome::Refused, "the target is no longer published" }, now()));
         return;
     }
-    const Net::TargetCallRequest request { action, target->address, target->port, action.repeatable };
+    const Net::TargetCallRequest request { action, target->address, target->port, action.repeatable, action.sendBefore };
     const Pipeline::AttemptId attempt = action.attempt;
     Net::TargetCallHandlers handlers;
     handlers.onText = [self = shared_from_this(), attempt](std::uint64_t offset, const std::string &text) {
--- a/src/libs/fleet/fleetnode.cpp
+++ b/src/libs/fleet/fleetnode.cpp
@@ -23,6 +23,7 @@
     , m_membership(m_self, incarnation, rules)
     , m_ledger(incarnation, rules)
     , m_claims(m_self, incarnation, rules)
+    , m_permits(m_self, incarnation)
 {
 }
 
@@ -115,7 +116,12 @@
                           [&](const Schema::HolderQuery &query) { return m_claims.onQuery(from, query, m_membership); },
                           [&](const Schema::HolderReply &reply) { return m_claims.onHolderReply(from, reply, now); },
                           [&](const Schema::QuarantineReport &report) { return m_quarantine.onReport(report, now); },
-                          [&](const auto &) { return Outputs {}; },
+                          [&](const Schema::PermitAsk &ask) { return m_permits.onAsk(from, ask, now); },
+                          [&](const Schema::PermitAnswer &answer) { return m_permits.onAnswer(answer); },
+                          [&](const Schema::PermitReturn &returned) {
+                              m_permits.onReturn(from, returned);
+                              return Outputs {};
+                          },
                       },
                       message);
 }
@@ -147,6 +153,7 @@
     m_ready = m_ready || haveDocumentsOfPeers(now);
     Outputs outputs = m_membership.tick(now);
     append(outputs, m_claims.tick(m_membership, now));
+    append(outputs, m_permits.tick(*m_cell, now));
     append(outputs, m_quarantine.expire(now));
     if (const auto changes = m_demand.changes(m_self, m_membership.members(), m_contact, now)) {
         outputs.push_back(*changes);
@@ -205,14 +212,14 @@
     return route(m_claims.finish(claim, end, result, m_membership, now), now);
 }
 
-Outputs FleetNode::requestPermit(const PermitRequest &request, MonotonicTime /*now*/)
+Outputs FleetNode::requestPermit(const PermitRequest &request, MonotonicTime now)
 {
-    return { PermitDecided { request.work, request.target, false } };
+    return route(m_permits.request(request, now), now);
 }
 
-Outputs FleetNode::returnPermit(WorkId /*work*/, const TargetId & /*target*/, bool /*succeeded*/, MonotonicTime /*now*/)
+Outputs FleetNode::returnPermit(WorkId work, const TargetId &target, bool succeeded, MonotonicTime now)
 {
-    return {};
+    return route(m_permits.giveBack(work, target, succeeded), now);
 }
 
 void FleetNode::setDemand(std::vector<PoolDemand> demand)
--- a/src/libs/fleet/fleetnode.h
+++ b/src/libs/fleet/fleetnode.h
@@ -9,6 +9,7 @@
 #include "membership.h"
 #include "output.h"
 #include "permit.h"
+#include "permits.h"
 #include "quarantine.h"
 
 #include <functional>
@@ -111,6 +112,7 @@
     GrantClaims m_claims;
     Contact m_contact;
     DemandTable m_demand;
+    Permits m_permits;
     Quarantine m_quarantine;
     std::map<std::string, std::int64_t> m_offered; ///< highest revision of each document at any peer
     MonotonicTime m_firstList;
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -136,11 +136,11 @@
     Decisions decisions;
     const auto found = m_placed.find(work);
     if (found != m_placed.end() && found->second.isAwaitingPermit) {
-        Placed placed = std::move(found->second);
+        const Placed placed = std::move(found->second);
         m_placed.erase(found);
         Pool &pool = m_pools[placed.item.pool];
         m_admission.release(placed.item.organisation);
-        giveBack(std::move(placed), pool, now);
+        giveBack(placed, pool, now);
         startWaiting(pool, now, decisions);
         return decisions;
     }
@@ -203,12 +203,12 @@
     if (granted) {
         decisions.push_back(ReturnPermit { work, target, false });
     }
-    Placed refused = std::move(placed);
+    const Placed refused = std::move(placed);
     m_placed.erase(found);
     Pool &pool = m_pools[refused.item.pool];
     pool.block(refused.target, m_targets, now + PERMIT_BACKOFF, now);
     WorkItem item = refused.item;
-    giveBack(std::move(refused), pool, now);
+    giveBack(refused, pool, now);
     const double weight = limitsOf(item.organisation).weight;
     pool.waiting.push(std::move(item), weight, std::numeric_limits<std::size_t>::max());
     startWaiting(pool, now, decisions);
@@ -386,7 +386,7 @@
     m_placed.emplace(work, Placed { std::move(item), target, now, needsPermit, false, isAlone });
 }
 
-void Dispatcher::giveBack(Placed placed, Pool &pool, MonotonicTime now)
+void Dispatcher::giveBack(const Placed &placed, Pool &pool, MonotonicTime now)
 {
     m_targets[placed.target].onDropped();
     --pool.running;
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -66,7 +66,7 @@
     void start(WorkItem item, Pool &pool, MonotonicTime now, Decisions &decisions);
     void startSuspects(Pool &pool, MonotonicTime now, Decisions &decisions);
     void place(WorkItem item, std::size_t target, bool isAlone, Pool &pool, MonotonicTime now, Decisions &decisions);
-    void giveBack(Placed placed, Pool &pool, MonotonicTime now);
+    void giveBack(const Placed &placed, Pool &pool, MonotonicTime now);
     void reject(const WorkItem &item, Refusal refusal, Decisions &decisions);
     void observeHealth(const Placed &placed, AttemptOutcome outcome, Pool &pool, MonotonicTime now, Decisions &decisions);
     const Settings::OrganisationSettings &limitsOf(const OrganisationId &organisation) const;
--- a/src/libs/schema/codec.cpp
+++ b/src/libs/schema/codec.cpp
@@ -37,10 +37,6 @@
 template<>
 constexpr const char *KIND<HolderReply> = "holderReply";
 template<>
-constexpr const char *KIND<LeaseRequest> = "leaseRequest";
-template<>
-constexpr const char *KIND<LeaseReply> = "leaseReply";
-template<>
 constexpr const char *KIND<PermitAsk> = "permitAsk";
 template<>
 constexpr const char *KIND<PermitAnswer> = "permitAnswer";
