Poll loads, record requests and stages, hand over at shutdown; requests keep what they need at exit

Cause: requests that outlived the daemon's other members at exit touched a router that was gone; load reports, metrics, the request log and the drain existed but nothing called them.

--- a/src/app/cassiarelayd/callerapi.cpp
+++ b/src/app/cassiarelayd/callerapi.cpp
@@ -86,7 +86,7 @@
 void CallerApi::handle(const Net::HttpExchangePointer &exchange)
 {
     const RequestId id = nextRequestId();
-    m_services.metrics.counter("cassiarelay_requests_total").add();
+    m_services.requestMetrics.requests.add();
     try {
         const auto view = m_services.control.view();
         if (m_services.control.isIsolated()) {
@@ -97,7 +97,7 @@
         }
         std::make_shared<RequestDriver>(m_services, exchange, parse(exchange->request(), *view, id))->start();
     } catch (const Error &error) {
-        m_services.metrics.counter("cassiarelay_refusals_total", { { "kind", std::string(toString(error.kind())) } }).add();
+        m_services.requestMetrics.refusals(error.kind()).add();
         const Refusal refusal { error.kind(), Outcome::NotRun, error.what(), std::nullopt };
         exchange->respond(problemResponse(refusal, id.value()));
     }
--- a/src/app/cassiarelayd/daemon.cpp
+++ b/src/app/cassiarelayd/daemon.cpp
@@ -41,13 +41,16 @@
     : m_vm(settings.vm)
     , m_incarnation(newIncarnation())
     , m_requestWork(boost::asio::make_work_guard(m_requestContext))
-    , m_targetHttp(m_requestContext)
-    , m_targets(m_targetHttp)
     , m_control(m_controlContext, settings, m_incarnation, controlHandlers())
-    , m_router(m_incarnation.value(), settings.vm, settings.failureDomain, cellLinkTo(m_control))
-    , m_services { m_requestContext, m_router, m_targets, m_metrics, m_control }
-    , m_callerApi(m_services, requestIdPrefix(settings.vm, m_incarnation))
-    , m_operatorApi(m_services, m_control, settings.operators.token)
+    , m_controlHttp(m_controlContext)
+    , m_loadPoller(std::make_shared<Net::LoadPoller>(
+          m_controlContext,
+          m_controlHttp,
+          m_incarnation.value(),
+          [this](const TargetId &target, const Routing::LoadReport &report) { m_services->router.onLoadReport(target, report); }))
+    , m_services(std::make_shared<RequestServices>(m_requestContext, settings, m_incarnation.value(), m_control))
+    , m_callerApi(*m_services, requestIdPrefix(settings.vm, m_incarnation))
+    , m_operatorApi(*m_services, m_control, settings.operators.token)
     , m_callerServer(m_requestContext,
                      settings.callers.address,
                      static_cast<std::uint16_t>(settings.callers.port),
@@ -70,6 +73,7 @@
     m_callerServer.start();
     m_operatorServer.start();
     m_control.start();
+    m_loadPoller->start();
     waitForSignal();
     tickRouter();
     std::vector<std::thread> threads;
@@ -87,13 +91,18 @@
 ControlHandlers Daemon::controlHandlers()
 {
     ControlHandlers handlers;
-    handlers.view = [this](const std::shared_ptr<const FleetView> &view) { m_router.adopt(view->targets, view->settings); };
-    handlers.permit = [this](const Fleet::PermitDecided &decided) { m_router.onPermit(decided.work, decided.target, decided.granted); };
+    handlers.view = [this](const std::shared_ptr<const FleetView> &view) {
+        m_services->router.adopt(view->targets, view->settings);
+        m_loadPoller->adopt(view->targets);
+    };
+    handlers.permit = [this](const Fleet::PermitDecided &decided) {
+        m_services->router.onPermit(decided.work, decided.target, decided.granted);
+    };
     handlers.quarantine = [this](const Fleet::QuarantineChanged &changed) {
-        m_router.onQuarantine(changed.fingerprint, toRouting(changed.state));
+        m_services->router.onQuarantine(changed.fingerprint, toRouting(changed.state));
     };
-    handlers.demand = [this](const Fleet::DemandChanged &changed) { m_router.adoptShares(toRouting(m_vm, changed)); };
-    handlers.ownDemand = [this] { return toFleet(m_router.demand()); };
+    handlers.demand = [this](const Fleet::DemandChanged &changed) { m_services->router.adoptShares(toRouting(m_vm, changed)); };
+    handlers.ownDemand = [this] { return toFleet(m_services->router.demand()); };
     return handlers;
 }
 
@@ -113,7 +122,7 @@
         if (error) {
             return;
         }
-        if (m_services.draining) {
+        if (m_services->draining) {
             stopNow();
             return;
         }
@@ -124,8 +133,8 @@
 
 void Daemon::beginShutdown()
 {
-    spdlog::info("shutting down, {} requests are running", m_services.activeRequests.load());
-    m_services.draining = true;
+    spdlog::info("shutting down, {} requests are running", m_services->activeRequests.load());
+    m_services->draining = true;
     m_callerServer.drain();
     finishShutdownWhenIdle();
 }
@@ -133,9 +142,10 @@
 // New requests are refused until the running ones have finished; then every connection must have its whole response.
 void Daemon::finishShutdownWhenIdle()
 {
-    if (m_services.activeRequests == 0 && !std::exchange(m_callersStopped, true)) {
+    if (m_services->activeRequests == 0 && !std::exchange(m_callersStopped, true)) {
+        m_control.beginDrain();
         m_callerServer.stop();
-    } else if (m_callersStopped && m_callerServer.connections() == 0) {
+    } else if (m_callersStopped && m_callerServer.connections() == 0 && m_control.isDrained()) {
         stopNow();
         return;
     }
@@ -149,6 +159,7 @@
 
 void Daemon::stopNow()
 {
+    m_loadPoller->stop();
     m_control.stop();
     m_requestContext.stop();
     m_controlContext.stop();
@@ -156,7 +167,7 @@
 
 void Daemon::tickRouter()
 {
-    m_router.tick();
+    m_services->router.tick();
     m_routerTimer.expires_after(ROUTER_TICK);
     m_routerTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
--- a/src/app/cassiarelayd/daemon.h
+++ b/src/app/cassiarelayd/daemon.h
@@ -40,12 +40,10 @@
     boost::asio::io_context m_requestContext;
     boost::asio::io_context m_controlContext;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_requestWork;
-    Metrics::Registry m_metrics;
-    Net::HttpClient m_targetHttp;
-    Net::TargetClient m_targets;
     ControlPlane m_control;
-    WorkRouter m_router;
-    RequestServices m_services;
+    Net::HttpClient m_controlHttp;
+    std::shared_ptr<Net::LoadPoller> m_loadPoller;
+    std::shared_ptr<RequestServices> m_services;
     CallerApi m_callerApi;
     OperatorApi m_operatorApi;
     Net::HttpServer m_callerServer;
--- a/src/app/cassiarelayd/requestdriver.cpp
+++ b/src/app/cassiarelayd/requestdriver.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 RequestDriver::RequestDriver(RequestServices &services, Net::HttpExchangePointer exchange, Pipeline::CallerRequest request)
-    : m_services(services)
+    : m_keptServices(services.shared_from_this())
+    , m_services(services)
     , m_exchange(std::move(exchange))
     , m_firstWork(services.router.reserveWorkIds())
     , m_machine(std::move(request), m_firstWork)
@@ -44,6 +45,9 @@
 
 void RequestDriver::start()
 {
+    const Pipeline::CallerRequest &request = m_machine.request();
+    m_startedAt = now();
+    m_services.requestLog.begin({ request.id, request.organisation, request.pipeline.name, request.pipeline.priorityClass }, m_startedAt);
     m_services.router.addOwner(m_firstWork, shared_from_this());
     // The exchange keeps the request until its response is whole: queued work has no call that would.
     m_exchange->onClosed(
@@ -95,6 +99,13 @@
 
 void RequestDriver::perform(const Pipeline::SubmitWork &action)
 {
+    const Pipeline::CallerRequest &request = m_machine.request();
+    m_submittedAt = now();
+    m_stage = { request.organisation, action.item.priorityClass, action.stage };
+    if (action.item.attempt > 0) {
+        m_services.requestMetrics.retries.add();
+    }
+    m_services.requestLog.stage(request.id, action.stage, m_submittedAt);
     m_services.router.submit(action.item);
 }
 
@@ -105,11 +116,16 @@
 
 void RequestDriver::perform(const Pipeline::ReleaseWork &action)
 {
+    m_services.requestMetrics.stage(m_stage).service.record(action.serviceTime);
+    m_services.requestLog.attemptEnd(m_machine.request().id, m_target, action.outcome, now());
     m_services.router.finished(action.work, action.outcome, action.serviceTime);
 }
 
 void RequestDriver::perform(const Pipeline::SendAttempt &action)
 {
+    m_target = action.target;
+    m_services.requestMetrics.stage(m_stage).wait.record(now() - m_submittedAt);
+    m_services.requestLog.attempt(m_machine.request().id, action.target, now());
     const auto view = m_services.control.view();
     const Routing::Target *target = view->targets->find(action.target);
     if (target == nullptr) {
@@ -178,7 +194,8 @@
 void RequestDriver::perform(const Pipeline::Answer &action)
 {
     m_timer.cancel();
-    m_services.metrics.counter("cassiarelay_answers_total").add();
+    m_services.requestMetrics.answers.add();
+    recordEnd(std::nullopt);
     const Pipeline::CallerRequest &request = m_machine.request();
     if (request.stream) {
         startStreamOnce();
@@ -202,7 +219,8 @@
 void RequestDriver::perform(const Pipeline::Refuse &action)
 {
     m_timer.cancel();
-    m_services.metrics.counter("cassiarelay_refusals_total", { { "kind", std::string(toString(action.refusal.kind)) } }).add();
+    m_services.requestMetrics.refusals(action.refusal.kind).add();
+    recordEnd(action.refusal.kind);
     const std::string requestId = m_machine.request().id.value();
     if (!m_streamStarted) {
         m_exchange->respond(problemResponse(action.refusal, requestId));
@@ -225,6 +243,13 @@
     });
 }
 
+void RequestDriver::recordEnd(std::optional<ErrorKind> refusal)
+{
+    const Pipeline::CallerRequest &request = m_machine.request();
+    m_services.requestLog.end(request.id, refusal, now());
+    m_services.requestMetrics.request(request.organisation, request.pipeline.priorityClass).record(now() - m_startedAt);
+}
+
 void RequestDriver::startStreamOnce()
 {
     if (std::exchange(m_streamStarted, true)) {
--- a/src/app/cassiarelayd/requestdriver.h
+++ b/src/app/cassiarelayd/requestdriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "celladapter.h"
 #include "controlplane.h"
 #include "fleetview.h"
 #include "requestlog.h"
@@ -20,17 +21,30 @@
 
 namespace CassiaRelay::Daemon {
 
-/** What every request of the daemon shares. */
-struct RequestServices {
+/** What every request of the daemon shares. Requests keep it, as they can outlive the daemon's other parts at exit. */
+struct RequestServices : std::enable_shared_from_this<RequestServices> {
+    RequestServices(boost::asio::io_context &requestContext,
+                    const Settings::ProcessSettings &settings,
+                    std::uint64_t seed,
+                    ControlPlane &controlPlane)
+        : context(requestContext)
+        , router(seed, settings.vm, settings.failureDomain, cellLinkTo(controlPlane))
+        , http(requestContext)
+        , targets(http)
+        , control(controlPlane)
+    {
+    }
+
     boost::asio::io_context &context;
-    WorkRouter &router;
-    Net::TargetClient &targets;
-    Metrics::Registry &metrics;
+    WorkRouter router;
+    Net::HttpClient http;
+    Net::TargetClient targets;
     ControlPlane &control;
+    Metrics::Registry metrics;
+    Metrics::RequestMetrics requestMetrics { metrics };
+    RequestLog requestLog {};
     std::atomic<std::size_t> activeRequests { 0 };
     std::atomic<bool> draining { false };
-    RequestLog requestLog {};
-    Metrics::RequestMetrics requestMetrics { metrics };
 };
 
 /** Carries out the actions of one request's state machine on its own strand. */
@@ -66,9 +80,11 @@
     void perform(const Pipeline::Answer &action);
     void perform(const Pipeline::Refuse &action);
     void perform(const Pipeline::ArmTimer &action);
+    void recordEnd(std::optional<ErrorKind> refusal);
     void startStreamOnce();
     void pauseOrResume();
 
+    std::shared_ptr<RequestServices> m_keptServices;
     RequestServices &m_services;
     Net::HttpExchangePointer m_exchange;
     WorkId m_firstWork;
@@ -77,6 +93,10 @@
     boost::asio::steady_timer m_timer;
     std::map<Pipeline::AttemptId, RunningCall> m_calls;
     std::optional<Fleet::ClaimId> m_claim; ///< of the current non-repeatable stage
+    Metrics::StageLabels m_stage;          ///< of the last submitted work
+    TargetId m_target;                     ///< of the last attempt
+    MonotonicTime m_startedAt;
+    MonotonicTime m_submittedAt;
     bool m_streamStarted = false;
     std::size_t m_deliveredBytes = 0;
 };
--- a/src/libs/pipeline/action.h
+++ b/src/libs/pipeline/action.h
@@ -18,6 +18,7 @@
 /** Asks the dispatcher for a slot. */
 struct SubmitWork {
     Routing::WorkItem item;
+    StageName stage;
 };
 
 /** Takes back work that has no slot yet. */
--- a/src/libs/pipeline/requestmachine.cpp
+++ b/src/libs/pipeline/requestmachine.cpp
@@ -180,7 +180,7 @@
 {
     Routing::WorkItem item = workItem();
     m_waiting = item.id;
-    return { SubmitWork { std::move(item) } };
+    return { SubmitWork { std::move(item), stage().name } };
 }
 
 Routing::WorkItem RequestMachine::workItem()
