--- a/tests/auto/net/tst_shutdown.cpp
+++ b/tests/auto/net/tst_shutdown.cpp
@@ -88,6 +88,15 @@
     {
     }
 
+    // Exchanges must not outlive the server whose sockets they hold.
+    ~Target()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_held.clear();
+    }
+    Target(const Target &) = delete;
+    Target &operator=(const Target &) = delete;
+
     std::uint16_t port()
     {
         return m_server.http().port();
