Say unknown for keyed requests that are turned away; show unlisted VMs what they missed

Cause: scenario split saw 'r2 not_run after it had run': an isolated or leaving VM said not_run for a keyed request whose copy had run elsewhere. Scenario stale-platform saw a new VM ready at revision 1: peers that did not list it sent it no heartbeat. Change: Isolated and Draining are unknown when the request has an Idempotency-Key; a heartbeat from an unlisted VM that is behind is answered with one.

--- a/src/app/cassiarelayd/callerapi.cpp
+++ b/src/app/cassiarelayd/callerapi.cpp
@@ -75,6 +75,14 @@
     return *std::move(body);
 }
 
+// A daemon that turns a request away before it asks its cell cannot know whether a copy with the same key has run elsewhere.
+Outcome outcomeOf(ErrorKind kind, const Net::HttpRequest &request)
+{
+    const bool isKeyed = !field(request, "Idempotency-Key").empty();
+    const bool mayHaveRun = kind == ErrorKind::Isolated || kind == ErrorKind::Draining;
+    return isKeyed && mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+}
+
 } // namespace
 
 CallerApi::CallerApi(RequestServices &services, std::string requestIdPrefix)
@@ -98,7 +106,7 @@
         std::make_shared<RequestDriver>(m_services, exchange, parse(exchange->request(), *view, id))->start();
     } catch (const Error &error) {
         m_services.requestMetrics.refusals(error.kind()).add();
-        const Refusal refusal { error.kind(), Outcome::NotRun, error.what(), std::nullopt };
+        const Refusal refusal { error.kind(), outcomeOf(error.kind(), exchange->request()), error.what(), std::nullopt };
         exchange->respond(problemResponse(refusal, id.value()));
     }
 }
--- a/src/libs/fleet/fleetnode.cpp
+++ b/src/libs/fleet/fleetnode.cpp
@@ -332,12 +332,22 @@
     if (heartbeat.demand) {
         m_demand.onPeer(from, *heartbeat.demand);
     }
+    // A VM that is not in the list here gets no heartbeats; it must still learn what it missed.
+    if (m_cell->find(from) == nullptr && isBehind(heartbeat)) {
+        outputs.push_back(SendMessage { from, this->heartbeat(false) });
+    }
     requestNewer(from, Schema::CONFIGURATION_KEY, heartbeat.config, outputs);
     requestNewer(from, Schema::VM_LIST_KEY, heartbeat.vms, outputs);
     requestNewer(from, Schema::TARGET_LIST_KEY, heartbeat.targets, outputs);
     return outputs;
 }
 
+bool FleetNode::isBehind(const Schema::Heartbeat &other) const
+{
+    const Schema::Heartbeat own = heartbeat(false);
+    return other.config < own.config || other.vms < own.vms || other.targets < own.targets;
+}
+
 Outputs FleetNode::onDocumentRequest(const VmId &from, const Schema::DocumentRequest &request) const
 {
     const Schema::Document *document = m_documents.find(request.key);
--- a/src/libs/fleet/fleetnode.h
+++ b/src/libs/fleet/fleetnode.h
@@ -91,6 +91,7 @@
     Outputs onHeartbeat(const VmId &from, const Schema::Heartbeat &heartbeat, MonotonicTime now);
     Outputs onDocumentRequest(const VmId &from, const Schema::DocumentRequest &request) const;
     void requestNewer(const VmId &from, std::string_view key, std::int64_t offered, Outputs &outputs);
+    bool isBehind(const Schema::Heartbeat &other) const;
     Schema::Heartbeat heartbeat(bool withDemand) const;
     Outputs heartbeats(bool withDemand) const;
     Outputs adopt(const Schema::Document &document);
--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -195,6 +195,7 @@
     limits.maxConnections = CONNECTIONS + 1;
     Server server(echo, limits);
     std::vector<std::unique_ptr<Client>> idle;
+    idle.reserve(CONNECTIONS);
     for (int index = 0; index < CONNECTIONS; ++index) {
         idle.push_back(std::make_unique<Client>(server.http().port()));
     }
