Build a returned permit in one place; ask once whether the daemon is isolated

Cause: reading the whole change found the permit return built twice, and two isolation checks in one tick that could disagree. Behaviour is unchanged.

--- a/src/app/cassiarelayd/controlplane.cpp
+++ b/src/app/cassiarelayd/controlplane.cpp
@@ -233,8 +233,9 @@
     m_node.setDemand(m_handlers.ownDemand());
     perform(m_node.tick(now, std::chrono::system_clock::now()));
     m_isReady = m_node.isReady(now);
-    if (m_isIsolated.exchange(m_node.isIsolated(now)) != m_node.isIsolated(now)) {
-        spdlog::warn(m_isIsolated ? "isolated: no platform and less than half of the cell" : "no longer isolated");
+    const bool isolated = m_node.isIsolated(now);
+    if (m_isIsolated.exchange(isolated) != isolated) {
+        spdlog::warn(isolated ? "isolated: no platform and less than half of the cell" : "no longer isolated");
     }
     m_timer.expires_after(TICK_INTERVAL);
     m_timer.async_wait([this](const boost::system::error_code &error) {
--- a/src/libs/fleet/permits.cpp
+++ b/src/libs/fleet/permits.cpp
@@ -11,6 +11,16 @@
 /** Longer than the longest time after which a member has a new view from its peers. */
 constexpr std::chrono::milliseconds HANDOVER_TIME { 1500 };
 
+Schema::PermitReturn permitReturn(WorkId work, const TargetId &target, Incarnation holder, bool succeeded)
+{
+    Schema::PermitReturn returned {};
+    returned.incarnation = static_cast<std::int64_t>(holder.value());
+    returned.succeeded = succeeded;
+    returned.target = target.value();
+    returned.work = static_cast<std::int64_t>(work.value());
+    return returned;
+}
+
 } // namespace
 
 Permits::Permits(VmId self, Incarnation incarnation)
@@ -34,12 +44,7 @@
     if (m_wanted.erase(work) == 0 || m_cell.members().empty()) {
         return {};
     }
-    Schema::PermitReturn returned {};
-    returned.incarnation = static_cast<std::int64_t>(m_incarnation.value());
-    returned.succeeded = succeeded;
-    returned.target = target.value();
-    returned.work = static_cast<std::int64_t>(work.value());
-    return { SendMessage { stewardOf(target), returned } };
+    return { SendMessage { stewardOf(target), permitReturn(work, target, m_incarnation, succeeded) } };
 }
 
 Outputs Permits::onAsk(const VmId &from, const Schema::PermitAsk &ask, MonotonicTime now)
@@ -71,11 +76,8 @@
     if (wanted == m_wanted.end() || wanted->second.held || wanted->second.request.target.value() != answer.target) {
         // The answer came after the request was given up: the permit goes back unused.
         if (wanted == m_wanted.end() && answer.granted && !m_cell.members().empty()) {
-            Schema::PermitReturn returned {};
-            returned.incarnation = static_cast<std::int64_t>(m_incarnation.value());
-            returned.target = answer.target;
-            returned.work = answer.work;
-            return { SendMessage { stewardOf(TargetId(answer.target)), returned } };
+            const TargetId target(answer.target);
+            return { SendMessage { stewardOf(target), permitReturn(work, target, m_incarnation, false) } };
         }
         return {};
     }
