--- a/src/app/cassiarelayd/main.cpp
+++ b/src/app/cassiarelayd/main.cpp
@@ -1,6 +1,9 @@
 #include "daemon.h"
 
+#include "../gateway/gatewaydaemon.h"
+
 #include <boost/program_options.hpp>
+#include <platform/platform.h>
 #include <spdlog/spdlog.h>
 
 #include <iostream>
@@ -35,6 +38,20 @@
     }
 }
 
+int runGateway(const options::variables_map &arguments)
+{
+    const auto file = arguments["settings"].as<std::string>();
+    const auto settings = CassiaRelay::Settings::loadGatewaySettings(file);
+    if (arguments.count("check") > 0) {
+        std::cout << "settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+    const CassiaRelay::Platform::Adapter adapter;
+    CassiaRelay::GatewayDaemon::GatewayDaemon daemon(file, settings, adapter);
+    daemon.run();
+    return EXIT_SUCCESS;
+}
+
 int runDaemon(const options::variables_map &arguments)
 {
     const auto settings = CassiaRelay::Settings::loadProcessSettings(arguments["settings"].as<std::string>());
@@ -52,9 +69,9 @@
 
 int main(int argc, char **argv)
 {
-    options::options_description description("cassiarelayd --settings FILE [--check]");
+    options::options_description description("cassiarelayd --settings FILE [--gateway] [--check]");
     description.add_options()("settings", options::value<std::string>(), "settings file of this daemon")(
-        "check", "check the settings and exit")("help", "show this help");
+        "check", "check the settings and exit")("gateway", "serve the routes of the users' platform")("help", "show this help");
     options::variables_map arguments;
     try {
         options::store(options::parse_command_line(argc, argv, description), arguments);
@@ -67,7 +84,7 @@
         return arguments.count("help") > 0 ? EXIT_SUCCESS : EXIT_BAD_USAGE;
     }
     try {
-        return runDaemon(arguments);
+        return arguments.count("gateway") > 0 ? runGateway(arguments) : runDaemon(arguments);
     } catch (const CassiaRelay::Error &error) {
         std::cerr << "cassiarelayd: " << error.what() << "; " << error.remedy() << "\n";
         return EXIT_BAD_SETTINGS;
--- /dev/null
+++ b/src/app/gateway/eventlog.cpp
@@ -0,0 +1,118 @@
+#include "eventlog.h"
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace CassiaRelay::GatewayDaemon {
+
+namespace {
+
+constexpr std::size_t QUEUE_LINES = 1024;                   // some seconds of lines at the usual rate, under 1 MB
+constexpr int MAX_LINES_PER_SECOND = 100;                   // of one kind of event; about 20 KB/s
+constexpr std::chrono::milliseconds FLUSH_INTERVAL { 250 }; // what a killed process may lose
+
+} // namespace
+
+EventLog::EventLog(Schema::LogLevel level)
+    : m_isDebug(level == Schema::LogLevel::Debug)
+{
+    spdlog::init_thread_pool(QUEUE_LINES, 1);
+    m_logger = std::make_shared<spdlog::async_logger>("events",
+                                                      std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+                                                      spdlog::thread_pool(),
+                                                      spdlog::async_overflow_policy::overrun_oldest);
+    m_logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %v", spdlog::pattern_time_type::utc);
+    const bool isQuiet = level == Schema::LogLevel::Warning || level == Schema::LogLevel::Error;
+    m_logger->set_level(isQuiet ? spdlog::level::warn : spdlog::level::info);
+    spdlog::register_logger(m_logger);
+    spdlog::flush_every(std::chrono::seconds(1));
+}
+
+EventLog::~EventLog()
+{
+    m_logger->flush();
+    m_logger.reset();
+    spdlog::shutdown();
+}
+
+void EventLog::write(std::string_view event, const LogFields &fields, MonotonicTime now)
+{
+    if (mayWrite(event, 1, now)) {
+        m_logger->info(formatLine(event, fields));
+    }
+}
+
+void EventLog::writeStory(std::string_view event, const std::vector<std::string> &lines, MonotonicTime now)
+{
+    if (!mayWrite(event, static_cast<int>(lines.size()), now)) {
+        return;
+    }
+    for (const std::string &line : lines) {
+        m_logger->info(line);
+    }
+}
+
+bool EventLog::isDebug() const
+{
+    return m_isDebug;
+}
+
+void EventLog::flush(MonotonicTime now)
+{
+    for (auto &[event, rate] : m_rates) {
+        if (rate.suppressed == 0) {
+            continue;
+        }
+        m_logger->info(formatLine("suppressed", { { "of", event }, { "lines", std::to_string(rate.suppressed) } }));
+        rate.suppressed = 0;
+        rate.secondBegan = now;
+    }
+    m_logger->flush();
+}
+
+std::uint64_t EventLog::dropped() const
+{
+    return spdlog::thread_pool()->overrun_counter();
+}
+
+bool EventLog::mayWrite(std::string_view event, int lines, MonotonicTime now)
+{
+    auto rate = m_rates.find(event);
+    if (rate == m_rates.end()) {
+        rate = m_rates.emplace(std::string(event), Rate {}).first;
+    }
+    Rate &current = rate->second;
+    if (now - current.secondBegan >= std::chrono::seconds(1)) {
+        current.secondBegan = now;
+        current.lines = 0;
+    }
+    if (current.lines + lines > MAX_LINES_PER_SECOND) {
+        current.suppressed += static_cast<std::uint64_t>(lines);
+        return false;
+    }
+    current.lines += lines;
+    return true;
+}
+
+std::string formatLine(std::string_view event, const LogFields &fields)
+{
+    std::string line = "event=" + std::string(event);
+    for (const LogField &field : fields) {
+        line += ' ';
+        line += field.name;
+        line += '=';
+        if (field.value.find_first_of(" \"=") == std::string::npos && !field.value.empty()) {
+            line += field.value;
+            continue;
+        }
+        line += '"';
+        for (const char letter : field.value) {
+            line += letter == '"' || letter == '\n' ? '\'' : letter;
+        }
+        line += '"';
+    }
+    return line;
+}
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/fieldlist.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <common/common.h>
+
+#include <vector>
+
+namespace CassiaRelay::GatewayDaemon {
+
+/** The fields of a message in their order. */
+inline std::vector<HttpField> toFieldList(const boost::beast::http::fields &fields)
+{
+    std::vector<HttpField> list;
+    for (const auto &field : fields) {
+        list.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
+    return list;
+}
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/frontdoor.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "gatewayservices.h"
+
+namespace CassiaRelay::GatewayDaemon {
+
+/** Takes requests of callers: finds route and organisation, and starts a session or refuses. */
+class FrontDoor
+{
+public:
+    explicit FrontDoor(GatewayServices &services);
+
+    void handle(const Net::HttpExchangePointer &exchange);
+
+private:
+    void refuse(const Net::HttpExchangePointer &exchange, const Gateway::CallerHead &head, Gateway::RefuseRequest refusal);
+
+    GatewayServices &m_services;
+};
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -0,0 +1,326 @@
+#include "gatewaydaemon.h"
+
+#include <csignal>
+
+namespace CassiaRelay::GatewayDaemon {
+
+namespace {
+
+constexpr unsigned STATUS_NOT_FOUND = 404;
+constexpr unsigned STATUS_UNAVAILABLE = 503;
+constexpr std::chrono::milliseconds IDLE_CHECK { 20 };
+constexpr std::chrono::milliseconds HOUSE_INTERVAL { 1000 };
+constexpr std::chrono::milliseconds LEAST_SHUTDOWN { 2500 };     // the balancer asks once a second and needs two misses
+constexpr std::chrono::milliseconds SHUTDOWN_RESERVE { 400 };    // for the last bytes before SIGKILL
+constexpr std::chrono::milliseconds TARGET_SILENCE { 2000 };     // links are milliseconds long; a lost packet is sent again within a second
+constexpr std::chrono::milliseconds TARGET_IDLE { 10000 };
+constexpr std::size_t IDLE_PER_TARGET = 4;                       // all daemons share the connections that a target accepts
+constexpr std::size_t IDLE_PER_PEER = 16;
+
+Net::HttpClientLimits clientLimits(std::size_t idlePerServer)
+{
+    Net::HttpClientLimits limits;
+    limits.maxIdlePerServer = idlePerServer;
+    limits.maxIdleTime = TARGET_IDLE;
+    limits.silenceLimit = TARGET_SILENCE;
+    return limits;
+}
+
+std::unordered_map<FailureDomain, Gateway::Region> toRegions(const Settings::GatewaySettings &settings)
+{
+    std::unordered_map<FailureDomain, Gateway::Region> regions;
+    for (const auto &[domain, region] : settings.regions) {
+        regions.emplace(domain, Gateway::Region(region));
+    }
+    return regions;
+}
+
+Net::HttpLimits toServerLimits(const Gateway::CallerLimits &limits)
+{
+    Net::HttpLimits server;
+    server.maxBodyBytes = limits.maxBodyBytes;
+    server.maxHeaderBytes = limits.maxHeaderBytes;
+    server.headerTimeout = limits.headerTimeout;
+    server.readTimeout = limits.headerTimeout + limits.idleTimeout;
+    server.idleTimeout = limits.idleTimeout;
+    server.stalledReaderTimeout = limits.idleTimeout;
+    return server;
+}
+
+Net::HttpResponse plainResponse(unsigned status, std::string body)
+{
+    Net::HttpResponse response;
+    response.status = status;
+    response.contentType = "text/plain; charset=utf-8";
+    response.body = std::move(body);
+    return response;
+}
+
+} // namespace
+
+GatewayDaemon::GatewayDaemon(std::string settingsFile, const Settings::GatewaySettings &settings, const Gateway::PlatformPort &port)
+    : m_settingsFile(std::move(settingsFile))
+    , m_settings(settings)
+    , m_port(port)
+    , m_log(settings.logLevel)
+    , m_targetClient(m_context, clientLimits(IDLE_PER_TARGET))
+    , m_storeClient(m_context, clientLimits(1))
+    , m_peerClient(m_context, clientLimits(IDLE_PER_PEER))
+    , m_targets({ settings.coldFactor, settings.coldSlack }, toRegions(settings), stableHash(settings.vm.value()))
+    , m_retries({ settings.retryRatio, settings.retryExtra, settings.retryWindow })
+    , m_relay { m_targets, m_retries, m_crashes, settings.maxVms }
+    , m_members(settings.vm, settings.peers.value_or(settings.callers))
+    , m_pieces(m_context, m_targetClient, m_peerClient, port, m_targets, m_members, m_metrics, m_log)
+    , m_services { m_context, m_targetClient, port, m_catalogue, m_relay, m_pieces, m_metrics, m_log }
+    , m_frontDoor(m_services)
+    , m_watcher(m_context,
+                m_storeClient,
+                port,
+                settings.store,
+                m_catalogue,
+                m_log,
+                [this](const Gateway::CatalogueChanges &changes) { onCatalogueChanges(changes); })
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    , m_shutdownTimer(m_context)
+    , m_houseTimer(m_context)
+{
+    const auto serve = [this](const Endpoint &endpoint, void (GatewayDaemon::*handler)(const Net::HttpExchangePointer &)) {
+        return std::make_unique<Net::HttpServer>(
+            m_context, endpoint.address, endpoint.port, Net::HttpLimits {}, [this, handler](const Net::HttpExchangePointer &exchange) {
+                (this->*handler)(exchange);
+            });
+    };
+    m_callerServer = std::make_unique<Net::HttpServer>(m_context,
+                                                       settings.callers.address,
+                                                       settings.callers.port,
+                                                       Net::HttpLimits {},
+                                                       [this](const Net::HttpExchangePointer &exchange) { m_frontDoor.handle(exchange); });
+    m_readinessServer = serve(settings.readiness, &GatewayDaemon::handleReadiness);
+    m_metricsServer = serve(settings.metrics, &GatewayDaemon::handleMetrics);
+    if (settings.peers) {
+        m_peerServer = serve(*settings.peers, &GatewayDaemon::handlePeer);
+        m_peers = std::make_unique<PeerLink>(
+            m_context, m_peerClient, settings.vm, *settings.peers, m_members, m_crashes, m_log, [this] { onMembersChanged(); });
+        m_members.setSeeds(settings.seeds);
+    }
+    m_targets.setVms(settings.maxVms);
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+void GatewayDaemon::run()
+{
+    m_log.write("started",
+                { { "vm", m_settings.vm.value() },
+                  { "domain", m_settings.failureDomain.value() },
+                  { "callers", m_settings.callers.text() },
+                  { "store", m_settings.store.text() } },
+                std::chrono::steady_clock::now());
+    m_watcher.start();
+    if (m_peers) {
+        m_peerServer->start();
+        m_peers->start();
+    }
+    m_readinessServer->start();
+    m_metricsServer->start();
+    m_callerServer->start();
+    waitForSignal();
+    housekeep();
+    m_context.run();
+    m_log.write("stopped", { { "vm", m_settings.vm.value() } }, std::chrono::steady_clock::now());
+}
+
+void GatewayDaemon::onCatalogueChanges(const Gateway::CatalogueChanges &changes)
+{
+    for (const Gateway::CatalogueChange &change : changes) {
+        std::visit([this](const auto &one) { adopt(one); }, change);
+    }
+    m_pieces.pumpAll();
+}
+
+void GatewayDaemon::adopt(const Gateway::TargetAdopted &change)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const std::optional<Gateway::TargetRecord> known = m_targets.find(change.record.id);
+    if (!known || known->isLeaving != change.record.isLeaving) {
+        m_log.write("target listed",
+                    { { "target", change.record.id.value() },
+                      { "service", change.record.service.value() },
+                      { "address", change.record.endpoint.text() },
+                      { "domain", change.record.failureDomain.value() },
+                      { "leaving", change.record.isLeaving ? "yes" : "no" },
+                      { "cold_ms", std::to_string(change.record.coldFor.count()) },
+                      { "revision", std::to_string(m_catalogue.revision()) } },
+                    now);
+    }
+    m_targets.put(change.record, now);
+}
+
+void GatewayDaemon::adopt(const Gateway::TargetDropped &change)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    m_log.write("target gone",
+                { { "target", change.id.value() },
+                  { "restarted", change.hasRestarted ? "yes" : "no" },
+                  { "revision", std::to_string(m_catalogue.revision()) } },
+                now);
+    m_crashes.noteDown(change.id, now);
+    m_targets.remove(change.id);
+}
+
+void GatewayDaemon::adopt(const Gateway::DomainChanged &change)
+{
+    m_log.write("domain changed",
+                { { "domain", change.domain.value() }, { "out", change.isOut ? "yes" : "no" }, { "revision", std::to_string(m_catalogue.revision()) } },
+                std::chrono::steady_clock::now());
+    m_targets.setDomainOut(change.domain, change.isOut);
+}
+
+void GatewayDaemon::adopt(const Gateway::TableAdopted &change)
+{
+    m_log.write("configuration adopted",
+                { { "version", std::to_string(change.table->version()) }, { "revision", std::to_string(m_catalogue.revision()) } },
+                std::chrono::steady_clock::now());
+    m_targets.setServices(change.table->services());
+    m_pieces.adopt(*change.table);
+    m_callerServer->setLimits(toServerLimits(change.table->limits()));
+}
+
+void GatewayDaemon::adopt(const Gateway::EntryRejected &change)
+{
+    m_log.write("entry left out", { { "key", change.key }, { "reason", change.reason } }, std::chrono::steady_clock::now());
+}
+
+void GatewayDaemon::onMembersChanged()
+{
+    const int vms = std::max(m_settings.maxVms, m_members.count());
+    m_targets.setVms(vms);
+    m_relay.vms = vms;
+    m_pieces.onMembersChanged();
+}
+
+void GatewayDaemon::handlePeer(const Net::HttpExchangePointer &exchange)
+{
+    const std::string target(exchange->request().target());
+    if (target == PeerLink::PATH) {
+        m_peers->handle(exchange);
+    } else if (target == PieceBroker::PATH) {
+        m_pieces.handle(exchange);
+    } else {
+        exchange->respond(plainResponse(STATUS_NOT_FOUND, "unknown path\n"));
+    }
+}
+
+void GatewayDaemon::handleReadiness(const Net::HttpExchangePointer &exchange)
+{
+    const bool isKnownPath = exchange->request().target() == m_port.readinessPath();
+    if (!isKnownPath) {
+        exchange->respond(plainResponse(STATUS_NOT_FOUND, "unknown path\n"));
+        return;
+    }
+    exchange->respond(isReady() ? plainResponse(200, "ready\n") : plainResponse(STATUS_UNAVAILABLE, "not ready\n"));
+}
+
+void GatewayDaemon::handleMetrics(const Net::HttpExchangePointer &exchange)
+{
+    m_metrics.gauge("cassiarelay_requests_active").set(static_cast<std::int64_t>(m_services.activeRequests));
+    m_metrics.gauge("cassiarelay_peers").set(m_members.count() - 1);
+    m_metrics.gauge("cassiarelay_targets").set(static_cast<std::int64_t>(m_targets.size()));
+    m_metrics.gauge("cassiarelay_store_calls").set(static_cast<std::int64_t>(m_watcher.calls()));
+    m_metrics.gauge("cassiarelay_target_connections_opened").set(static_cast<std::int64_t>(m_targetClient.connectionsOpened()));
+    m_metrics.gauge("cassiarelay_log_lines_dropped").set(static_cast<std::int64_t>(m_log.dropped()));
+    exchange->respond(plainResponse(200, m_metrics.text()));
+}
+
+bool GatewayDaemon::isReady() const
+{
+    return !m_isDraining && m_catalogue.table() && m_catalogue.hasTargets();
+}
+
+void GatewayDaemon::waitForSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        } else if (m_isDraining) {
+            stopNow();
+            return;
+        } else {
+            beginShutdown();
+        }
+        waitForSignal();
+    });
+}
+
+// Addresses stay those of the start: the platform gives new ones only to a new process.
+void GatewayDaemon::reload()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    try {
+        const Settings::GatewaySettings fresh = Settings::loadGatewaySettings(m_settingsFile);
+        m_settings.seeds = fresh.seeds;
+        m_settings.shutdownTime = fresh.shutdownTime;
+        m_members.setSeeds(fresh.seeds);
+        m_log.write("settings reloaded", { { "file", m_settingsFile }, { "seeds", std::to_string(fresh.seeds.size()) } }, now);
+    } catch (const Error &error) {
+        m_log.write("settings kept", { { "file", m_settingsFile }, { "reason", error.what() }, { "remedy", error.remedy() } }, now);
+    }
+}
+
+void GatewayDaemon::beginShutdown()
+{
+    m_isDraining = true;
+    m_shutdownBegan = std::chrono::steady_clock::now();
+    m_log.write("stopping", { { "active", std::to_string(m_services.activeRequests) } }, m_shutdownBegan);
+    if (m_peers) {
+        m_peers->leave();
+    }
+    m_callerServer->drain();
+    finishShutdownWhenIdle();
+}
+
+void GatewayDaemon::finishShutdownWhenIdle()
+{
+    const Duration elapsed = std::chrono::steady_clock::now() - m_shutdownBegan;
+    const bool isIdle = m_services.activeRequests == 0 && m_callerServer->connections() == 0;
+    if ((isIdle && elapsed >= LEAST_SHUTDOWN) || elapsed >= m_settings.shutdownTime - SHUTDOWN_RESERVE) {
+        stopNow();
+        return;
+    }
+    m_shutdownTimer.expires_after(IDLE_CHECK);
+    m_shutdownTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            finishShutdownWhenIdle();
+        }
+    });
+}
+
+void GatewayDaemon::stopNow()
+{
+    m_watcher.stop();
+    m_pieces.stop();
+    if (m_peers) {
+        m_peers->stop();
+    }
+    m_context.stop();
+}
+
+void GatewayDaemon::housekeep()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    onCatalogueChanges(m_catalogue.expire(now));
+    m_targetClient.closeExpired();
+    m_peerClient.closeExpired();
+    m_log.flush(now);
+    m_houseTimer.expires_after(HOUSE_INTERVAL);
+    m_houseTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            housekeep();
+        }
+    });
+}
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/gatewaydaemon.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "frontdoor.h"
+#include "peerlink.h"
+#include "storewatcher.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <settings/settings.h>
+
+#include <memory>
+#include <string>
+
+namespace CassiaRelay::GatewayDaemon {
+
+/**
+ * One daemon that serves routes by host and prefix.
+ *
+ * Requests and control share one thread: the VMs have a quarter of a core, and more threads would only take turns.
+ */
+class GatewayDaemon
+{
+public:
+    GatewayDaemon(std::string settingsFile, const Settings::GatewaySettings &settings, const Gateway::PlatformPort &port);
+    ~GatewayDaemon();
+
+    /** Serves until SIGTERM or SIGINT; a graceful shutdown lets every running request finish. */
+    void run();
+
+private:
+    void onCatalogueChanges(const Gateway::CatalogueChanges &changes);
+    void adopt(const Gateway::TargetAdopted &change);
+    void adopt(const Gateway::TargetDropped &change);
+    void adopt(const Gateway::DomainChanged &change);
+    void adopt(const Gateway::TableAdopted &change);
+    void adopt(const Gateway::EntryRejected &change);
+    void onMembersChanged();
+    void handlePeer(const Net::HttpExchangePointer &exchange);
+    void handleReadiness(const Net::HttpExchangePointer &exchange);
+    void handleMetrics(const Net::HttpExchangePointer &exchange);
+    bool isReady() const;
+    void waitForSignal();
+    void reload();
+    void beginShutdown();
+    void finishShutdownWhenIdle();
+    void stopNow();
+    void housekeep();
+
+    std::string m_settingsFile;
+    Settings::GatewaySettings m_settings;
+    const Gateway::PlatformPort &m_port;
+    boost::asio::io_context m_context { 1 };
+    EventLog m_log;
+    Metrics::Registry m_metrics;
+    Net::HttpClient m_targetClient;
+    Net::HttpClient m_storeClient;
+    Net::HttpClient m_peerClient;
+    Gateway::Catalogue m_catalogue;
+    Gateway::TargetBook m_targets;
+    Gateway::RetryBudget m_retries;
+    Gateway::CrashRegister m_crashes;
+    Gateway::RelayShared m_relay;
+    Gateway::Members m_members;
+    PieceBroker m_pieces;
+    GatewayServices m_services;
+    FrontDoor m_frontDoor;
+    StoreWatcher m_watcher;
+    std::unique_ptr<PeerLink> m_peers;
+    std::unique_ptr<Net::HttpServer> m_callerServer;
+    std::unique_ptr<Net::HttpServer> m_readinessServer;
+    std::unique_ptr<Net::HttpServer> m_peerServer;
+    std::unique_ptr<Net::HttpServer> m_metricsServer;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_shutdownTimer;
+    boost::asio::steady_timer m_houseTimer;
+    MonotonicTime m_shutdownBegan;
+    bool m_isDraining = false;
+};
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/gatewayservices.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "eventlog.h"
+#include "piecebroker.h"
+
+#include <gateway/gateway.h>
+#include <metrics/metrics.h>
+#include <net/net.h>
+
+namespace CassiaRelay::GatewayDaemon {
+
+/** What all requests of a daemon share; lives on its one thread. */
+struct GatewayServices {
+    boost::asio::io_context &context;
+    Net::HttpClient &targetClient;
+    const Gateway::PlatformPort &port;
+    const Gateway::Catalogue &catalogue;
+    Gateway::RelayShared &relay;
+    PieceBroker &pieces;
+    Metrics::Registry &metrics;
+    EventLog &log;
+    std::size_t activeRequests = 0;
+};
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/peerlink.cpp
@@ -0,0 +1,184 @@
+#include "peerlink.h"
+
+namespace CassiaRelay::GatewayDaemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds GREETING_INTERVAL { 300 }; // a daemon that is gone is noticed after a second
+constexpr std::chrono::milliseconds GREETING_PATIENCE { 500 }; // slow machines answer late, but within the second
+
+// Wall-clock start time: rises from one start of a process to the next.
+std::int64_t newIncarnation()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+}
+
+std::string toHex(Fingerprint fingerprint)
+{
+    constexpr int DIGITS = 16;
+    std::string text(DIGITS, '0');
+    std::uint64_t value = fingerprint.value();
+    for (int digit = DIGITS - 1; digit >= 0; --digit) {
+        text[static_cast<std::size_t>(digit)] = "0123456789abcdef"[value % 16];
+        value /= 16;
+    }
+    return text;
+}
+
+Gateway::CrashCount toCrashCount(const Schema::CrashReport &report)
+{
+    return { Fingerprint(std::strtoull(report.fingerprint.c_str(), nullptr, 16)), static_cast<int>(report.count) };
+}
+
+} // namespace
+
+PeerLink::PeerLink(boost::asio::io_context &context,
+                   Net::HttpClient &client,
+                   VmId self,
+                   Endpoint endpoint,
+                   Gateway::Members &members,
+                   Gateway::CrashRegister &crashes,
+                   EventLog &log,
+                   ChangeHandler onChange)
+    : m_client(client)
+    , m_self(std::move(self))
+    , m_endpoint(std::move(endpoint))
+    , m_incarnation(newIncarnation())
+    , m_members(members)
+    , m_crashes(crashes)
+    , m_log(log)
+    , m_onChange(std::move(onChange))
+    , m_timer(context)
+{
+}
+
+void PeerLink::start()
+{
+    greetAll();
+}
+
+void PeerLink::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+}
+
+void PeerLink::leave()
+{
+    m_isLeaving = true;
+    m_members.setLeaving();
+    for (const Gateway::Member &member : m_members.alive()) {
+        greet(member.endpoint);
+    }
+}
+
+void PeerLink::handle(const Net::HttpExchangePointer &exchange)
+{
+    Net::HttpResponse response;
+    response.contentType = "application/cbor";
+    try {
+        onGreeting(exchange->request().body());
+        response.body = ownGreeting();
+    } catch (const std::exception &error) {
+        m_log.write("greeting unreadable", { { "reason", error.what() } }, std::chrono::steady_clock::now());
+        response.status = 400;
+    }
+    exchange->respond(std::move(response));
+}
+
+void PeerLink::greetAll()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const std::vector<Gateway::Member> gone = m_members.expire(now);
+    for (const Gateway::Member &member : gone) {
+        m_log.write("peer lost", { { "vm", member.vm.value() }, { "address", member.endpoint.text() } }, now);
+    }
+    m_crashes.forgetOld(now);
+    for (const Endpoint &endpoint : m_members.greetingList(now)) {
+        greet(endpoint);
+    }
+    if (!gone.empty()) {
+        m_onChange();
+    }
+    m_timer.expires_after(GREETING_INTERVAL);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error && !m_stopped) {
+            greetAll();
+        }
+    });
+}
+
+void PeerLink::greet(const Endpoint &endpoint)
+{
+    const std::string key = endpoint.text();
+    if (!m_greeting.insert(key).second) {
+        return;
+    }
+    Net::HttpCallRequest request;
+    request.address = endpoint.address;
+    request.port = endpoint.port;
+    request.method = "POST";
+    request.path = PATH;
+    request.contentType = "application/cbor";
+    request.body = ownGreeting();
+    request.deadline = std::chrono::steady_clock::now() + GREETING_PATIENCE;
+    request.connectTimeout = GREETING_PATIENCE;
+    auto body = std::make_shared<std::string>();
+    Net::HttpCallHandlers handlers;
+    handlers.onBody = [body](const std::string &part) { *body += part; };
+    handlers.onFinished = [this, body, key] {
+        m_greeting.erase(key);
+        try {
+            onGreeting(*body);
+        } catch (const std::exception &error) {
+            m_log.write("greeting unreadable", { { "from", key }, { "reason", error.what() } }, std::chrono::steady_clock::now());
+        }
+    };
+    handlers.onFailed = [this, key](Net::CallFailure, const std::string &) { m_greeting.erase(key); };
+    m_client.send(std::move(request), std::move(handlers));
+}
+
+std::string PeerLink::ownGreeting() const
+{
+    Schema::Greeting greeting;
+    greeting.vm = m_self.value();
+    greeting.address = m_endpoint.text();
+    greeting.incarnation = m_incarnation;
+    greeting.leaving = m_isLeaving;
+    for (const Endpoint &endpoint : m_members.known()) {
+        greeting.known.push_back(endpoint.text());
+    }
+    for (const Gateway::CrashCount &count : m_crashes.own(std::chrono::steady_clock::now())) {
+        greeting.crashes.push_back({ count.crashes, toHex(count.fingerprint) });
+    }
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(nlohmann::json(greeting));
+    return { bytes.begin(), bytes.end() };
+}
+
+void PeerLink::onGreeting(std::string_view bytes)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const auto greeting = Schema::parseBoundedCbor(bytes).get<Schema::Greeting>();
+    Gateway::Member member { VmId(greeting.vm), Endpoint::parse(greeting.address), greeting.incarnation, greeting.leaving };
+    std::vector<Endpoint> known;
+    for (const std::string &address : greeting.known) {
+        known.push_back(Endpoint::parse(address));
+    }
+    std::vector<Gateway::CrashCount> crashes;
+    for (const Schema::CrashReport &report : greeting.crashes) {
+        crashes.push_back(toCrashCount(report));
+    }
+    m_crashes.merge(member.vm, crashes, now);
+    if (m_members.onGreeting(member, known, now)) {
+        m_log.write("peer changed",
+                    { { "vm", member.vm.value() },
+                      { "address", member.endpoint.text() },
+                      { "incarnation", std::to_string(member.incarnation) },
+                      { "leaving", member.isLeaving ? "yes" : "no" } },
+                    now);
+        m_onChange();
+    }
+}
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/peerlink.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "eventlog.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gateway/gateway.h>
+#include <net/net.h>
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace CassiaRelay::GatewayDaemon {
+
+/** Greets the other daemons, so that each knows which ones live and what requests have crashed targets. */
+class PeerLink
+{
+public:
+    using ChangeHandler = std::function<void()>;
+
+    PeerLink(boost::asio::io_context &context,
+             Net::HttpClient &client,
+             VmId self,
+             Endpoint endpoint,
+             Gateway::Members &members,
+             Gateway::CrashRegister &crashes,
+             EventLog &log,
+             ChangeHandler onChange);
+
+    void start();
+    void stop();
+    /** Tells the others that this daemon takes no new work from them. */
+    void leave();
+    /** Answers a greeting. */
+    void handle(const Net::HttpExchangePointer &exchange);
+
+    static constexpr const char *PATH = "/cell/greeting";
+
+private:
+    void greetAll();
+    void greet(const Endpoint &endpoint);
+    std::string ownGreeting() const;
+    void onGreeting(std::string_view bytes);
+
+    Net::HttpClient &m_client;
+    VmId m_self;
+    Endpoint m_endpoint;
+    std::int64_t m_incarnation;
+    Gateway::Members &m_members;
+    Gateway::CrashRegister &m_crashes;
+    EventLog &m_log;
+    ChangeHandler m_onChange;
+    boost::asio::steady_timer m_timer;
+    std::set<std::string> m_greeting; ///< addresses with a greeting under way
+    bool m_isLeaving = false;
+    bool m_stopped = false;
+};
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/piecebroker.cpp
@@ -0,0 +1,601 @@
+#include "piecebroker.h"
+
+#include "fieldlist.h"
+
+namespace CassiaRelay::GatewayDaemon {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr unsigned STATUS_OK = 200;
+constexpr unsigned STATUS_BAD_REQUEST = 400;
+constexpr unsigned STATUS_MISDIRECTED = 421;
+constexpr std::chrono::milliseconds WAKE_INTERVAL { 25 };   // a tenth of a usual call
+constexpr std::chrono::milliseconds FREE_INTERVAL { 60 };   // gathers what several requests free at one target
+constexpr std::chrono::milliseconds AVOID_TIME { 1000 };    // time in which a daemon that is gone is noticed
+constexpr std::chrono::milliseconds CONNECT_PATIENCE { 300 };
+constexpr std::chrono::milliseconds FREE_PATIENCE { 1000 };
+constexpr std::chrono::milliseconds ANSWER_TIME { 100 };    // for the way back from the owner
+
+std::int64_t millisecondsUntil(MonotonicTime time, MonotonicTime now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time - now).count();
+}
+
+std::string toCbor(const json &document)
+{
+    const std::vector<std::uint8_t> bytes = json::to_cbor(document);
+    return { bytes.begin(), bytes.end() };
+}
+
+Schema::PieceOrder toMessage(const Gateway::PieceOrder &work, MonotonicTime now)
+{
+    Schema::PieceOrder message;
+    message.request = work.request.value();
+    message.service = work.service.value();
+    message.stage = static_cast<std::int64_t>(work.stage);
+    message.rank = work.rank;
+    message.patienceMs = millisecondsUntil(work.giveUpAt, now);
+    message.usefulMs = millisecondsUntil(work.usefulUntil, now);
+    message.resultBytes = static_cast<std::int64_t>(work.resultBytes);
+    message.pieceKey = work.inputKey;
+    message.inputs = work.inputs;
+    message.pieces.assign(work.pieces.begin(), work.pieces.end());
+    return message;
+}
+
+Gateway::PieceOrder fromMessage(const Schema::PieceOrder &message, MonotonicTime now)
+{
+    Gateway::PieceOrder work;
+    work.request = RequestId(message.request);
+    work.service = Gateway::ServiceName(message.service);
+    work.stage = static_cast<std::size_t>(message.stage);
+    work.rank = static_cast<int>(message.rank);
+    work.giveUpAt = now + std::chrono::milliseconds(message.patienceMs);
+    work.usefulUntil = now + std::chrono::milliseconds(message.usefulMs);
+    work.resultBytes = static_cast<std::size_t>(message.resultBytes);
+    work.inputKey = message.pieceKey.value_or(std::string());
+    work.inputs = message.inputs.value_or(std::vector<std::string>());
+    work.pieces.assign(message.pieces.begin(), message.pieces.end());
+    return work;
+}
+
+Schema::PieceFailureName toName(Gateway::PieceFailure failure)
+{
+    switch (failure) {
+    case Gateway::PieceFailure::Late:
+        return Schema::PieceFailureName::Late;
+    case Gateway::PieceFailure::InputGone:
+        return Schema::PieceFailureName::InputGone;
+    case Gateway::PieceFailure::NoRoom:
+        return Schema::PieceFailureName::NoRoom;
+    case Gateway::PieceFailure::Withdrawn:
+        return Schema::PieceFailureName::Withdrawn;
+    case Gateway::PieceFailure::Failed:
+        break;
+    }
+    return Schema::PieceFailureName::Failed;
+}
+
+Gateway::PieceFailure fromName(Schema::PieceFailureName name)
+{
+    switch (name) {
+    case Schema::PieceFailureName::Late:
+        return Gateway::PieceFailure::Late;
+    case Schema::PieceFailureName::InputGone:
+        return Gateway::PieceFailure::InputGone;
+    case Schema::PieceFailureName::NoRoom:
+        return Gateway::PieceFailure::NoRoom;
+    case Schema::PieceFailureName::Withdrawn:
+        return Gateway::PieceFailure::Withdrawn;
+    case Schema::PieceFailureName::Failed:
+        break;
+    }
+    return Gateway::PieceFailure::Failed;
+}
+
+Schema::PieceResults toMessage(const std::vector<Gateway::PieceEnd> &ends)
+{
+    Schema::PieceResults message;
+    for (const Gateway::PieceEnd &end : ends) {
+        Schema::PieceResult result;
+        result.piece = end.piece;
+        std::visit(Overloaded {
+                       [&result](const Gateway::StageResult &made) {
+                           result.handle = made.handle;
+                           result.target = made.target.value();
+                       },
+                       [&result](Gateway::PieceFailure failure) { result.failure = toName(failure); },
+                   },
+                   end.outcome);
+        message.results.push_back(std::move(result));
+    }
+    return message;
+}
+
+std::vector<Gateway::PieceEnd> fromMessage(const Schema::PieceResults &message)
+{
+    std::vector<Gateway::PieceEnd> ends;
+    for (const Schema::PieceResult &result : message.results) {
+        Gateway::PieceEnd end;
+        end.piece = static_cast<int>(result.piece);
+        if (result.handle && result.target) {
+            end.outcome = Gateway::StageResult { *result.handle, TargetId(*result.target) };
+        } else {
+            end.outcome = fromName(result.failure.value_or(Schema::PieceFailureName::Failed));
+        }
+        ends.push_back(std::move(end));
+    }
+    return ends;
+}
+
+std::string_view toString(Gateway::AttemptResult result)
+{
+    switch (result) {
+    case Gateway::AttemptResult::Succeeded:
+        return "succeeded";
+    case Gateway::AttemptResult::Refused:
+        return "refused";
+    case Gateway::AttemptResult::Errored:
+        return "errored";
+    case Gateway::AttemptResult::Unreachable:
+        return "unreachable";
+    case Gateway::AttemptResult::Broken:
+        return "broken";
+    case Gateway::AttemptResult::Silent:
+        return "silent";
+    case Gateway::AttemptResult::Cancelled:
+        return "cancelled";
+    }
+    return "";
+}
+
+Gateway::AttemptResult toResult(Net::CallFailure failure)
+{
+    switch (failure) {
+    case Net::CallFailure::NotSent:
+        return Gateway::AttemptResult::Unreachable;
+    case Net::CallFailure::TimedOut:
+        return Gateway::AttemptResult::Silent;
+    case Net::CallFailure::ConnectionLost:
+    case Net::CallFailure::Malformed:
+        break;
+    }
+    return Gateway::AttemptResult::Broken;
+}
+
+} // namespace
+
+PieceBroker::PieceBroker(boost::asio::io_context &context,
+                         Net::HttpClient &targetClient,
+                         Net::HttpClient &peerClient,
+                         const Gateway::PlatformPort &port,
+                         Gateway::TargetBook &targets,
+                         Gateway::Members &members,
+                         Metrics::Registry &metrics,
+                         EventLog &log)
+    : m_context(context)
+    , m_targetClient(targetClient)
+    , m_peerClient(peerClient)
+    , m_port(port)
+    , m_targets(targets)
+    , m_members(members)
+    , m_log(log)
+    , m_calls(metrics.counter("cassiarelay_stage_calls_total"))
+    , m_pieces(metrics.counter("cassiarelay_stage_pieces_total"))
+    , m_failedCalls(metrics.counter("cassiarelay_stage_calls_failed_total"))
+    , m_ordersElsewhere(metrics.counter("cassiarelay_piece_orders_sent_to_owner_total"))
+    , m_callTime(metrics.histogram("cassiarelay_stage_call_seconds"))
+    , m_wakeTimer(context)
+    , m_freeTimer(context)
+{
+}
+
+Gateway::OrderId PieceBroker::order(const Gateway::PieceOrder &work, DoneHandler done)
+{
+    const Gateway::OrderId id(m_nextOrder++);
+    Order order;
+    order.work = work;
+    order.done = std::move(done);
+    order.open = work.pieces.size();
+    m_orders.emplace(id, std::move(order));
+    place(id);
+    return id;
+}
+
+void PieceBroker::withdraw(Gateway::OrderId id)
+{
+    const auto found = m_orders.find(id);
+    if (found == m_orders.end()) {
+        return;
+    }
+    Order order = std::move(found->second);
+    m_orders.erase(found);
+    if (order.owner) {
+        if (order.call) {
+            order.call->cancel();
+        }
+        return;
+    }
+    pool(order.work.service).withdraw(id);
+    std::vector<Gateway::StageResult> made;
+    for (const Gateway::PieceEnd &end : order.ends) {
+        if (const auto *result = std::get_if<Gateway::StageResult>(&end.outcome)) {
+            made.push_back(*result);
+        }
+    }
+    free(made);
+}
+
+void PieceBroker::free(const std::vector<Gateway::StageResult> &results)
+{
+    for (const Gateway::StageResult &result : results) {
+        m_frees[result.target].push_back(result.handle);
+    }
+    if (!m_frees.empty()) {
+        freeLater();
+    }
+}
+
+// The answer leaves when the order has ended; a daemon that hangs up withdraws it.
+void PieceBroker::handle(const Net::HttpExchangePointer &exchange)
+{
+    Gateway::PieceOrder work;
+    try {
+        const json document = Schema::parseBoundedCbor(exchange->request().body());
+        work = fromMessage(document.get<Schema::PieceOrder>(), std::chrono::steady_clock::now());
+    } catch (const std::exception &error) {
+        m_log.write("piece order unreadable", { { "reason", error.what() } }, std::chrono::steady_clock::now());
+        Net::HttpResponse response;
+        response.status = STATUS_BAD_REQUEST;
+        exchange->respond(std::move(response));
+        return;
+    }
+    const Gateway::OrderId id(m_nextOrder++);
+    Order order;
+    order.work = work;
+    order.open = work.pieces.size();
+    order.done = [exchange](const std::vector<Gateway::PieceEnd> &ends) {
+        Net::HttpResponse response;
+        response.contentType = "application/cbor";
+        response.body = toCbor(json(toMessage(ends)));
+        exchange->respond(std::move(response));
+    };
+    exchange->onClosed([this, id] { withdraw(id); });
+    m_orders.emplace(id, std::move(order));
+    placeHere(id);
+}
+
+void PieceBroker::adopt(const Gateway::RouteTable &table)
+{
+    for (const Gateway::Service &service : table.services()) {
+        if (!service.pieces) {
+            continue;
+        }
+        m_capacities[service.name] = *service.pieces;
+        const auto known = m_pools.find(service.name);
+        if (known != m_pools.end()) {
+            known->second.adopt(*service.pieces);
+        }
+    }
+}
+
+void PieceBroker::onMembersChanged()
+{
+    std::set<VmId> alive;
+    for (const Gateway::Member &member : m_members.alive()) {
+        alive.insert(member.vm);
+    }
+    std::vector<Gateway::OrderId> orphans;
+    for (const auto &[id, order] : m_orders) {
+        if (order.owner && alive.count(*order.owner) == 0) {
+            orphans.push_back(id);
+        }
+    }
+    for (const Gateway::OrderId &id : orphans) {
+        const auto order = m_orders.find(id);
+        if (order->second.call) {
+            order->second.call->cancel();
+        }
+        place(id);
+    }
+}
+
+void PieceBroker::pumpAll()
+{
+    std::vector<Gateway::ServiceName> waiting;
+    for (const auto &[service, pool] : m_pools) {
+        if (pool.waiting() > 0) {
+            waiting.push_back(service);
+        }
+    }
+    for (const Gateway::ServiceName &service : waiting) {
+        pump(service);
+    }
+}
+
+void PieceBroker::stop()
+{
+    m_wakeTimer.cancel();
+    m_freeTimer.cancel();
+}
+
+void PieceBroker::place(Gateway::OrderId id)
+{
+    const std::optional<Gateway::Member> owner = m_members.owner(m_orders.at(id).work.service);
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (owner) {
+        const auto avoided = m_avoidUntil.find(owner->vm);
+        if (avoided == m_avoidUntil.end() || avoided->second <= now) {
+            placeAt(*owner, id);
+            return;
+        }
+    }
+    placeHere(id);
+}
+
+void PieceBroker::placeHere(Gateway::OrderId id)
+{
+    Order &order = m_orders.at(id);
+    order.owner.reset();
+    order.call.reset();
+    pool(order.work.service).submit(id, order.work);
+    pump(order.work.service);
+}
+
+void PieceBroker::placeAt(const Gateway::Member &owner, Gateway::OrderId id)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    Order &order = m_orders.at(id);
+    order.owner = owner.vm;
+    m_ordersElsewhere.add();
+    Net::HttpCallRequest request;
+    request.address = owner.endpoint.address;
+    request.port = owner.endpoint.port;
+    request.method = "POST";
+    request.path = PATH;
+    request.contentType = "application/cbor";
+    request.body = toCbor(json(toMessage(order.work, now)));
+    request.deadline = std::max(order.work.giveUpAt, now) + ANSWER_TIME;
+    request.connectTimeout = CONNECT_PATIENCE;
+    auto status = std::make_shared<unsigned>(0);
+    auto body = std::make_shared<std::string>();
+    Net::HttpCallHandlers handlers;
+    handlers.onHead = [status](const Net::HttpCallHead &head) { *status = head.status; };
+    handlers.onBody = [body](const std::string &part) { *body += part; };
+    handlers.onFinished = [this, id, status, body] { onOwnerAnswered(id, *status, *body); };
+    handlers.onFailed = [this, id](Net::CallFailure, const std::string &reason) { onOwnerFailed(id, reason); };
+    order.call = m_peerClient.send(std::move(request), std::move(handlers));
+}
+
+void PieceBroker::onOwnerAnswered(Gateway::OrderId id, unsigned status, const std::string &body)
+{
+    const auto order = m_orders.find(id);
+    if (order == m_orders.end()) {
+        return;
+    }
+    if (status != STATUS_OK) {
+        onOwnerFailed(id, "status " + std::to_string(status));
+        return;
+    }
+    try {
+        order->second.ends = fromMessage(Schema::parseBoundedCbor(body).get<Schema::PieceResults>());
+    } catch (const std::exception &error) {
+        onOwnerFailed(id, error.what());
+        return;
+    }
+    finish(id);
+}
+
+void PieceBroker::onOwnerFailed(Gateway::OrderId id, const std::string &reason)
+{
+    const auto order = m_orders.find(id);
+    if (order == m_orders.end() || !order->second.owner) {
+        return;
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    m_avoidUntil[*order->second.owner] = now + AVOID_TIME;
+    m_log.write("piece owner failed",
+                { { "request", order->second.work.request.value() }, { "vm", order->second.owner->value() }, { "reason", reason } },
+                now);
+    placeHere(id);
+}
+
+Gateway::StagePool &PieceBroker::pool(const Gateway::ServiceName &service)
+{
+    const auto known = m_pools.find(service);
+    if (known != m_pools.end()) {
+        return known->second;
+    }
+    return m_pools.emplace(service, Gateway::StagePool(service, m_capacities[service])).first->second;
+}
+
+void PieceBroker::pump(const Gateway::ServiceName &service)
+{
+    Gateway::StagePool &stagePool = pool(service);
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    for (Gateway::StageCall &call : stagePool.dispatch(m_targets, now)) {
+        send(service, std::move(call));
+    }
+    report(stagePool.expire(now));
+    if (stagePool.waiting() > 0) {
+        wakeLater();
+    }
+}
+
+void PieceBroker::send(const Gateway::ServiceName &service, Gateway::StageCall call)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    m_calls.add();
+    m_pieces.add(call.items.size());
+    Gateway::WireCall wire = m_port.stageCall(call, now);
+    Net::HttpCallRequest request;
+    request.address = call.target.endpoint.address;
+    request.port = call.target.endpoint.port;
+    request.method = std::move(wire.method);
+    request.path = std::move(wire.path);
+    request.fields = std::move(wire.fields);
+    request.body = std::move(wire.body);
+    request.deadline = call.overdueAt;
+    request.connectTimeout = CONNECT_PATIENCE;
+    struct Reply {
+        Gateway::StageCall call;
+        Gateway::TargetAnswer answer;
+        std::string body;
+        MonotonicTime sentAt;
+    };
+    auto reply = std::make_shared<Reply>();
+    reply->call = std::move(call);
+    reply->sentAt = now;
+    Net::HttpCallHandlers handlers;
+    handlers.onHead = [this, reply](const Net::HttpCallHead &head) { reply->answer = m_port.readAnswer(head.status, toFieldList(head.fields)); };
+    handlers.onBody = [reply](const std::string &part) { reply->body += part; };
+    handlers.onFinished = [this, reply, service] {
+        m_callTime.record(std::chrono::steady_clock::now() - reply->sentAt);
+        onCallAnswered(service, reply->call, reply->answer, reply->body);
+    };
+    handlers.onFailed = [this, reply, service](Net::CallFailure failure, const std::string &reason) {
+        onCallFailed(service, reply->call, toResult(failure), reason);
+    };
+    m_targetClient.send(std::move(request), std::move(handlers));
+}
+
+void PieceBroker::onCallAnswered(const Gateway::ServiceName &service,
+                                 const Gateway::StageCall &call,
+                                 const Gateway::TargetAnswer &answer,
+                                 const std::string &body)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (answer.load) {
+        m_targets.noteLoad(call.target.id, *answer.load, now);
+    }
+    if (answer.head.status != STATUS_OK) {
+        const bool refused = answer.head.isNotRun || answer.head.status == STATUS_MISDIRECTED;
+        onCallFailed(service,
+                     call,
+                     refused ? Gateway::AttemptResult::Refused : Gateway::AttemptResult::Errored,
+                     "status " + std::to_string(answer.head.status));
+        return;
+    }
+    try {
+        report(pool(service).onAnswered(call.id, m_port.readStageResults(call, body), m_targets, now));
+    } catch (const std::exception &error) {
+        onCallFailed(service, call, Gateway::AttemptResult::Broken, error.what());
+        return;
+    }
+    pump(service);
+}
+
+void PieceBroker::onCallFailed(const Gateway::ServiceName &service,
+                               const Gateway::StageCall &call,
+                               Gateway::AttemptResult result,
+                               const std::string &reason)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    m_failedCalls.add();
+    m_log.write("stage call failed",
+                { { "service", service.value() },
+                  { "target", call.target.id.value() },
+                  { "pieces", std::to_string(call.items.size()) },
+                  { "result", std::string(toString(result)) },
+                  { "reason", reason } },
+                now);
+    report(pool(service).onFailed(call.id, result, m_targets, now));
+    pump(service);
+}
+
+void PieceBroker::report(const std::vector<Gateway::OrderProgress> &progress)
+{
+    std::vector<Gateway::StageResult> unwanted;
+    std::set<Gateway::OrderId> ended;
+    for (const Gateway::OrderProgress &step : progress) {
+        const auto order = m_orders.find(step.order);
+        if (order == m_orders.end()) {
+            if (const auto *result = std::get_if<Gateway::StageResult>(&step.end.outcome)) {
+                unwanted.push_back(*result);
+            }
+            continue;
+        }
+        order->second.ends.push_back(step.end);
+        --order->second.open;
+        // One piece that can't be made ends the order: the others are of no use without it.
+        if (order->second.open == 0 || std::holds_alternative<Gateway::PieceFailure>(step.end.outcome)) {
+            ended.insert(step.order);
+        }
+    }
+    free(unwanted);
+    for (const Gateway::OrderId &id : ended) {
+        finish(id);
+    }
+}
+
+void PieceBroker::finish(Gateway::OrderId id)
+{
+    const auto found = m_orders.find(id);
+    if (found == m_orders.end()) {
+        return;
+    }
+    const Order order = std::move(found->second);
+    m_orders.erase(found);
+    if (!order.owner) {
+        pool(order.work.service).withdraw(id);
+    }
+    order.done(order.ends);
+}
+
+void PieceBroker::wakeLater()
+{
+    if (std::exchange(m_isWaking, true)) {
+        return;
+    }
+    m_wakeTimer.expires_after(WAKE_INTERVAL);
+    m_wakeTimer.async_wait([this](const boost::system::error_code &error) {
+        m_isWaking = false;
+        if (!error) {
+            pumpAll();
+        }
+    });
+}
+
+void PieceBroker::freeLater()
+{
+    if (std::exchange(m_isFreeing, true)) {
+        return;
+    }
+    m_freeTimer.expires_after(FREE_INTERVAL);
+    m_freeTimer.async_wait([this](const boost::system::error_code &error) {
+        m_isFreeing = false;
+        if (!error) {
+            sendFrees();
+        }
+    });
+}
+
+// A target that is gone has lost its results anyway, and one that does not hear of it drops them after a while.
+void PieceBroker::sendFrees()
+{
+    for (auto &[target, handles] : std::exchange(m_frees, {})) {
+        const std::optional<Gateway::TargetRecord> record = m_targets.find(target);
+        if (!record) {
+            continue;
+        }
+        Gateway::WireCall wire = m_port.freeCall(handles);
+        Net::HttpCallRequest request;
+        request.address = record->endpoint.address;
+        request.port = record->endpoint.port;
+        request.method = std::move(wire.method);
+        request.path = std::move(wire.path);
+        request.fields = std::move(wire.fields);
+        request.body = std::move(wire.body);
+        request.deadline = std::chrono::steady_clock::now() + FREE_PATIENCE;
+        request.connectTimeout = CONNECT_PATIENCE;
+        Net::HttpCallHandlers handlers;
+        handlers.onFailed = [this, id = target](Net::CallFailure, const std::string &reason) {
+            m_log.write("results not freed", { { "target", id.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
+        };
+        m_targetClient.send(std::move(request), std::move(handlers));
+    }
+}
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/relaysession.cpp
@@ -0,0 +1,302 @@
+#include "relaysession.h"
+
+#include "fieldlist.h"
+#include "refusalresponse.h"
+
+namespace CassiaRelay::GatewayDaemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds CONNECT_PATIENCE { 300 }; // targets are milliseconds away; a lost opening packet takes a second
+constexpr std::size_t MAX_QUEUED_BYTES = 256 * 1024;          // of a caller that reads slowly
+constexpr std::size_t MAX_STORY_LINES = 32;
+
+Gateway::SendFailure toFailure(Net::CallFailure failure)
+{
+    switch (failure) {
+    case Net::CallFailure::NotSent:
+        return Gateway::SendFailure::NotSent;
+    case Net::CallFailure::TimedOut:
+        return Gateway::SendFailure::Silent;
+    case Net::CallFailure::Malformed:
+        return Gateway::SendFailure::NotAnAnswer;
+    case Net::CallFailure::ConnectionLost:
+        break;
+    }
+    return Gateway::SendFailure::Lost;
+}
+
+std::string millisecondsSince(MonotonicTime start)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start).count());
+}
+
+std::vector<Gateway::StageResult> resultsOf(const std::vector<Gateway::PieceEnd> &ends)
+{
+    std::vector<Gateway::StageResult> results;
+    for (const Gateway::PieceEnd &end : ends) {
+        if (const auto *result = std::get_if<Gateway::StageResult>(&end.outcome)) {
+            results.push_back(*result);
+        }
+    }
+    return results;
+}
+
+Net::HttpResponse toResponse(const Gateway::AnswerHead &head)
+{
+    Net::HttpResponse response;
+    response.status = head.status;
+    response.contentType.clear();
+    response.fields = head.fields;
+    return response;
+}
+
+} // namespace
+
+RelaySession::RelaySession(GatewayServices &services,
+                           Net::HttpExchangePointer exchange,
+                           std::vector<HttpField> callerFields,
+                           Gateway::RelayRequest request)
+    : m_services(services)
+    , m_exchange(std::move(exchange))
+    , m_callerFields(std::move(callerFields))
+    , m_machine(std::move(request), services.relay)
+    , m_timer(services.context)
+{
+    ++m_services.activeRequests;
+}
+
+RelaySession::~RelaySession()
+{
+    --m_services.activeRequests;
+}
+
+void RelaySession::start()
+{
+    m_exchange->onClosed([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->perform(self->m_machine.onCallerGone(std::chrono::steady_clock::now()));
+        }
+    });
+    m_exchange->onDrained([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_call && std::exchange(self->m_isPaused, false)) {
+            self->m_call->resume();
+        }
+    });
+    perform(m_machine.start(std::chrono::steady_clock::now()));
+}
+
+void RelaySession::perform(const Gateway::RelayActions &actions)
+{
+    const auto self = shared_from_this();
+    for (const Gateway::RelayAction &action : actions) {
+        std::visit([this](const auto &one) { perform(one); }, action);
+    }
+}
+
+void RelaySession::perform(const Gateway::OrderPieces &action)
+{
+    const std::size_t stage = action.order.stage;
+    note("stage ordered", "stage=" + std::to_string(stage) + " pieces=" + std::to_string(action.order.pieces.size()));
+    // Ends come later, never from within the call, because the order must be known before it can be withdrawn.
+    const auto done = [self = shared_from_this(), stage, withdrawals = m_withdrawals](const std::vector<Gateway::PieceEnd> &ends) {
+        boost::asio::post(self->m_services.context, [self, stage, withdrawals, ends] {
+            if (withdrawals == self->m_withdrawals) {
+                self->onStageEnded(stage, ends);
+            } else {
+                self->m_services.pieces.free(resultsOf(ends));
+            }
+        });
+    };
+    m_orders.push_back(m_services.pieces.order(action.order, done));
+}
+
+void RelaySession::onStageEnded(std::size_t stage, const std::vector<Gateway::PieceEnd> &ends)
+{
+    note("stage ended", "stage=" + std::to_string(stage) + " results=" + std::to_string(resultsOf(ends).size()));
+    if (m_machine.isFinished()) {
+        m_services.pieces.free(resultsOf(ends));
+        return;
+    }
+    perform(m_machine.onPieces(stage, ends, std::chrono::steady_clock::now()));
+}
+
+void RelaySession::perform(const Gateway::WithdrawPieces &)
+{
+    ++m_withdrawals;
+    for (const Gateway::OrderId &order : std::exchange(m_orders, {})) {
+        m_services.pieces.withdraw(order);
+    }
+}
+
+void RelaySession::perform(const Gateway::FreeResults &action)
+{
+    m_services.pieces.free(action.results);
+}
+
+void RelaySession::perform(const Gateway::SendRequest &action)
+{
+    const Gateway::AttemptNumber attempt = action.attempt;
+    const auto self = shared_from_this();
+    Net::HttpCallHandlers handlers;
+    handlers.onHead = [self, attempt, target = action.target.id](const Net::HttpCallHead &head) { self->onTargetHead(attempt, target, head); };
+    handlers.onBody = [self, attempt](const std::string &part) {
+        self->perform(self->m_machine.onBody(attempt, part, std::chrono::steady_clock::now()));
+    };
+    handlers.onFinished = [self, attempt] { self->perform(self->m_machine.onFinished(attempt, std::chrono::steady_clock::now())); };
+    handlers.onFailed = [self, attempt](Net::CallFailure failure, const std::string &detail) {
+        self->perform(self->m_machine.onFailed(attempt, toFailure(failure), detail, std::chrono::steady_clock::now()));
+    };
+    m_call = m_services.targetClient.send(targetRequest(action), std::move(handlers));
+}
+
+void RelaySession::perform(const Gateway::CancelSend &)
+{
+    if (m_call) {
+        m_call->cancel();
+        m_call.reset();
+    }
+}
+
+void RelaySession::perform(const Gateway::PassAnswer &action)
+{
+    Net::HttpResponse response = toResponse(action.head);
+    response.body = action.body;
+    m_exchange->respond(std::move(response));
+    finish("answered", action.head.status, {});
+}
+
+void RelaySession::perform(const Gateway::PassHead &action)
+{
+    m_exchange->startStream(toResponse(action.head));
+}
+
+void RelaySession::perform(const Gateway::PassEvents &action)
+{
+    m_exchange->writeStream(action.events);
+    if (m_exchange->queuedBytes() > MAX_QUEUED_BYTES && m_call && !std::exchange(m_isPaused, true)) {
+        m_call->pause();
+    }
+}
+
+void RelaySession::perform(const Gateway::EndStream &)
+{
+    m_exchange->finishStream();
+    finish("streamed", 200, {});
+}
+
+void RelaySession::perform(const Gateway::BreakStream &)
+{
+    m_exchange->abortAfterQueued();
+    finish("broken off", 200, "the stream could not be completed");
+}
+
+void RelaySession::perform(const Gateway::RefuseRequest &action)
+{
+    m_exchange->respond(refusalResponse(action, m_machine.request().id));
+    finish("refused", action.status, action.reason);
+}
+
+void RelaySession::perform(const Gateway::WakeAt &action)
+{
+    m_timer.expires_at(action.at);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->perform(self->m_machine.onTimer(std::chrono::steady_clock::now()));
+        }
+    });
+}
+
+void RelaySession::perform(const Gateway::NoteDecision &action)
+{
+    note(action.decision, action.inputs);
+    if (m_machine.isFinished() && action.decision == "caller gone") {
+        finish("caller gone", 0, {});
+    }
+}
+
+Net::HttpCallRequest RelaySession::targetRequest(const Gateway::SendRequest &action) const
+{
+    const Gateway::RelayRequest &relayed = m_machine.request();
+    const auto &message = m_exchange->request();
+    Gateway::TargetHead head;
+    head.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(action.deadline - std::chrono::steady_clock::now());
+    head.expected = action.target.id;
+    if (relayed.organisation) {
+        head.organisation = relayed.organisation->id;
+    }
+    if (action.hasStages) {
+        head.inputs = action.inputs;
+    }
+    if (relayed.route->kind == Gateway::RouteKind::Stream) {
+        head.urgency = action.urgency;
+    }
+    head.resumeAfter = action.resumeAfter;
+    Net::HttpCallRequest request;
+    request.address = action.target.endpoint.address;
+    request.port = action.target.endpoint.port;
+    request.method = std::string(message.method_string());
+    request.path = std::string(message.target());
+    request.fields = m_services.port.targetFields(m_callerFields, head);
+    request.body = message.body();
+    request.contentType.clear();
+    request.requestIdField = m_services.port.requestIdField();
+    request.deadline = action.deadline;
+    request.reuseConnection = !action.onNewConnection;
+    request.connectTimeout = CONNECT_PATIENCE;
+    return request;
+}
+
+void RelaySession::onTargetHead(Gateway::AttemptNumber attempt, const TargetId &target, const Net::HttpCallHead &head)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    Gateway::TargetAnswer answer = m_services.port.readAnswer(head.status, toFieldList(head.fields));
+    if (answer.load) {
+        m_services.relay.targets.noteLoad(target, *answer.load, now);
+    }
+    perform(m_machine.onHead(attempt, std::move(answer.head), now));
+}
+
+void RelaySession::finish(std::string_view outcome, unsigned status, const std::string &reason)
+{
+    if (std::exchange(m_isDone, true)) {
+        return;
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const Gateway::RelayRequest &request = m_machine.request();
+    m_timer.cancel();
+    const bool isGood = (outcome == "answered" || outcome == "streamed") && status < 500;
+    const Metrics::Labels labels { { "route", request.route->name.value() }, { "outcome", std::string(outcome) } };
+    m_services.metrics.counter("cassiarelay_requests_total", labels).add();
+    m_services.metrics.histogram("cassiarelay_request_seconds", { { "route", request.route->name.value() } }).record(now - request.arrivedAt);
+    LogFields fields { { "request", request.id.value() },
+                       { "outcome", std::string(outcome) },
+                       { "status", std::to_string(status) },
+                       { "ms", millisecondsSince(request.arrivedAt) },
+                       { "route", request.route->name.value() },
+                       { "configuration", std::to_string(request.table->version()) } };
+    if (!reason.empty()) {
+        fields.push_back({ "reason", reason });
+    }
+    m_story.push_back(formatLine("ended", fields));
+    if (isGood && !m_services.log.isDebug()) {
+        m_services.log.writeStory("ended", { m_story.back() }, now);
+    } else {
+        m_services.log.writeStory(isGood ? "ended" : "failed", m_story, now);
+    }
+    m_exchange.reset();
+    m_call.reset();
+}
+
+void RelaySession::note(std::string_view decision, const std::string &inputs)
+{
+    if (m_story.size() >= MAX_STORY_LINES) {
+        return;
+    }
+    const Gateway::RelayRequest &request = m_machine.request();
+    m_story.push_back(formatLine(decision, { { "request", request.id.value() }, { "at_ms", millisecondsSince(request.arrivedAt) } }) + " " + inputs);
+}
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/relaysession.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "gatewayservices.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace CassiaRelay::GatewayDaemon {
+
+/** Carries out what the machine of one request decides; lives until the request has its final answer. */
+class RelaySession : public std::enable_shared_from_this<RelaySession>
+{
+public:
+    RelaySession(GatewayServices &services, Net::HttpExchangePointer exchange, std::vector<HttpField> callerFields, Gateway::RelayRequest request);
+    ~RelaySession();
+    RelaySession(const RelaySession &) = delete;
+    RelaySession &operator=(const RelaySession &) = delete;
+
+    void start();
+
+private:
+    void perform(const Gateway::RelayActions &actions);
+    void perform(const Gateway::OrderPieces &action);
+    void perform(const Gateway::WithdrawPieces &action);
+    void perform(const Gateway::FreeResults &action);
+    void perform(const Gateway::SendRequest &action);
+    void perform(const Gateway::CancelSend &action);
+    void perform(const Gateway::PassAnswer &action);
+    void perform(const Gateway::PassHead &action);
+    void perform(const Gateway::PassEvents &action);
+    void perform(const Gateway::EndStream &action);
+    void perform(const Gateway::BreakStream &action);
+    void perform(const Gateway::RefuseRequest &action);
+    void perform(const Gateway::WakeAt &action);
+    void perform(const Gateway::NoteDecision &action);
+    Net::HttpCallRequest targetRequest(const Gateway::SendRequest &action) const;
+    void onStageEnded(std::size_t stage, const std::vector<Gateway::PieceEnd> &ends);
+    void onTargetHead(Gateway::AttemptNumber attempt, const TargetId &target, const Net::HttpCallHead &head);
+    void finish(std::string_view outcome, unsigned status, const std::string &reason);
+    void note(std::string_view decision, const std::string &inputs);
+
+    GatewayServices &m_services;
+    Net::HttpExchangePointer m_exchange;
+    std::vector<HttpField> m_callerFields;
+    Gateway::RelayMachine m_machine;
+    boost::asio::steady_timer m_timer;
+    std::vector<Gateway::OrderId> m_orders;
+    int m_withdrawals = 0; ///< tells the ends of withdrawn orders, which may be on their way, from current ones
+    std::shared_ptr<Net::HttpCall> m_call;
+    std::vector<std::string> m_story; ///< written when the request ends badly
+    bool m_isPaused = false;
+    bool m_isDone = false;
+};
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/storewatcher.cpp
@@ -0,0 +1,186 @@
+#include "storewatcher.h"
+
+namespace CassiaRelay::GatewayDaemon {
+
+namespace {
+
+constexpr unsigned STATUS_OK = 200;
+constexpr std::chrono::milliseconds WATCH_INTERVAL { 800 };   // a change is known within this and a call; 2 s are allowed
+constexpr std::chrono::milliseconds WATCH_TIME { 1000 };      // a silent connection is noticed this soon, and PATIENCE later
+constexpr std::chrono::milliseconds PATIENCE { 700 };         // answers take milliseconds, and some hundred while the store is slow
+constexpr std::chrono::milliseconds LIST_PATIENCE { 2000 };
+constexpr std::chrono::milliseconds FIRST_RETRY { 200 };
+constexpr std::chrono::milliseconds LONGEST_RETRY { 1000 };   // each refused call is priced, and return must be seen within seconds
+constexpr int MAX_DOUBLINGS = 3;
+
+} // namespace
+
+StoreWatcher::StoreWatcher(boost::asio::io_context &context,
+                           Net::HttpClient &client,
+                           const Gateway::PlatformPort &port,
+                           Endpoint store,
+                           Gateway::Catalogue &catalogue,
+                           EventLog &log,
+                           ChangeHandler handler)
+    : m_client(client)
+    , m_port(port)
+    , m_store(std::move(store))
+    , m_catalogue(catalogue)
+    , m_log(log)
+    , m_handler(std::move(handler))
+    , m_timer(context)
+{
+}
+
+void StoreWatcher::start()
+{
+    list();
+}
+
+void StoreWatcher::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+    if (m_call) {
+        m_call->cancel();
+    }
+}
+
+std::uint64_t StoreWatcher::calls() const
+{
+    return m_calls;
+}
+
+void StoreWatcher::list()
+{
+    call(m_port.listCall(m_nextAfter), LIST_PATIENCE, [this] { onPage(); });
+}
+
+void StoreWatcher::watch()
+{
+    m_watchStartedAt = std::chrono::steady_clock::now();
+    call(m_port.watchCall(m_catalogue.revision(), WATCH_TIME), WATCH_TIME + PATIENCE, [this] { onChanges(); });
+}
+
+void StoreWatcher::call(Gateway::WireCall wireCall, Duration patience, std::function<void()> onReply)
+{
+    ++m_calls;
+    m_reply = {};
+    Net::HttpCallRequest request;
+    request.address = m_store.address;
+    request.port = m_store.port;
+    request.method = std::move(wireCall.method);
+    request.path = std::move(wireCall.path);
+    request.fields = std::move(wireCall.fields);
+    request.contentType.clear();
+    request.deadline = std::chrono::steady_clock::now() + patience;
+    request.connectTimeout = PATIENCE;
+    Net::HttpCallHandlers handlers;
+    handlers.onHead = [this](const Net::HttpCallHead &head) { m_reply.status = head.status; };
+    handlers.onBody = [this](const std::string &part) { m_reply.body += part; };
+    handlers.onFinished = std::move(onReply);
+    handlers.onFailed = [this](Net::CallFailure, const std::string &detail) { onFailure(detail); };
+    m_call = m_client.send(std::move(request), std::move(handlers));
+}
+
+void StoreWatcher::onPage()
+{
+    if (m_reply.status != STATUS_OK) {
+        onFailure("status " + std::to_string(m_reply.status));
+        return;
+    }
+    try {
+        Gateway::StorePage page = m_port.readPage(m_reply.body);
+        if (m_nextAfter.empty()) {
+            m_listed.clear();
+            m_listedRevision = page.revision;
+        }
+        std::move(page.entries.begin(), page.entries.end(), std::back_inserter(m_listed));
+        m_nextAfter = page.nextAfter;
+    } catch (const Error &error) {
+        onFailure(error.what());
+        return;
+    }
+    onAnswered();
+    if (!m_nextAfter.empty()) {
+        list();
+        return;
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    publish(m_catalogue.applyListing(m_listed, m_listedRevision, now));
+    m_log.write("store listed", { { "revision", std::to_string(m_listedRevision) }, { "entries", std::to_string(m_listed.size()) } }, now);
+    m_listed.clear();
+    m_isListed = true;
+    watch();
+}
+
+void StoreWatcher::onChanges()
+{
+    if (m_port.isHistoryGone(m_reply.status)) {
+        m_log.write("store history gone", { { "revision", std::to_string(m_catalogue.revision()) } }, std::chrono::steady_clock::now());
+        m_isListed = false;
+        list();
+        return;
+    }
+    if (m_reply.status != STATUS_OK) {
+        onFailure("status " + std::to_string(m_reply.status));
+        return;
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    try {
+        const Gateway::StoreChanges changes = m_port.readChanges(m_reply.body);
+        onAnswered();
+        publish(m_catalogue.applyChanges(changes, now));
+    } catch (const Error &error) {
+        onFailure(error.what());
+        return;
+    }
+    runAfter(std::max<Duration>(Duration::zero(), m_watchStartedAt + WATCH_INTERVAL - now), &StoreWatcher::watch);
+}
+
+void StoreWatcher::onFailure(const std::string &reason)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    m_catalogue.noteTrouble(now);
+    if (!std::exchange(m_isLost, true)) {
+        m_log.write("store lost", { { "reason", reason }, { "revision", std::to_string(m_catalogue.revision()) } }, now);
+    }
+    const Duration delay = std::min<Duration>(FIRST_RETRY * (1 << std::min(m_failures, MAX_DOUBLINGS)), LONGEST_RETRY);
+    ++m_failures;
+    if (!m_isListed) {
+        m_nextAfter.clear();
+    }
+    runAfter(delay, m_isListed ? &StoreWatcher::watch : &StoreWatcher::list);
+}
+
+void StoreWatcher::onAnswered()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    m_failures = 0;
+    m_catalogue.noteAnswer(now);
+    if (std::exchange(m_isLost, false)) {
+        m_log.write("store regained", { { "revision", std::to_string(m_catalogue.revision()) } }, now);
+    }
+}
+
+void StoreWatcher::runAfter(Duration delay, void (StoreWatcher::*step)())
+{
+    if (m_stopped) {
+        return;
+    }
+    m_timer.expires_after(delay);
+    m_timer.async_wait([this, step](const boost::system::error_code &error) {
+        if (!error && !m_stopped) {
+            (this->*step)();
+        }
+    });
+}
+
+void StoreWatcher::publish(const Gateway::CatalogueChanges &changes)
+{
+    if (!changes.empty()) {
+        m_handler(changes);
+    }
+}
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/storewatcher.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "eventlog.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gateway/gateway.h>
+#include <net/net.h>
+
+#include <functional>
+#include <memory>
+
+namespace CassiaRelay::GatewayDaemon {
+
+/**
+ * Keeps the catalogue up to date: lists the store once, then watches it.
+ *
+ * Calls are priced and shared by all daemons, so that a watch starts no sooner than a fixed time after the one before; what happens in
+ * between comes with the next answer.
+ */
+class StoreWatcher
+{
+public:
+    using ChangeHandler = std::function<void(const Gateway::CatalogueChanges &)>;
+
+    StoreWatcher(boost::asio::io_context &context,
+                 Net::HttpClient &client,
+                 const Gateway::PlatformPort &port,
+                 Endpoint store,
+                 Gateway::Catalogue &catalogue,
+                 EventLog &log,
+                 ChangeHandler handler);
+
+    void start();
+    void stop();
+    std::uint64_t calls() const;
+
+private:
+    /** What the call under way has brought so far. */
+    struct Reply {
+        unsigned status = 0;
+        std::string body;
+    };
+
+    void list();
+    void watch();
+    void call(Gateway::WireCall wireCall, Duration patience, std::function<void()> onReply);
+    void onPage();
+    void onChanges();
+    void onFailure(const std::string &reason);
+    void onAnswered();
+    void runAfter(Duration delay, void (StoreWatcher::*step)());
+    void publish(const Gateway::CatalogueChanges &changes);
+
+    Net::HttpClient &m_client;
+    const Gateway::PlatformPort &m_port;
+    Endpoint m_store;
+    Gateway::Catalogue &m_catalogue;
+    EventLog &m_log;
+    ChangeHandler m_handler;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<Net::HttpCall> m_call;
+    Reply m_reply;
+    std::vector<Gateway::StoreEntry> m_listed; ///< of the pages read so far
+    std::int64_t m_listedRevision = 0;         ///< of the first page: later changes are watched
+    std::string m_nextAfter;
+    MonotonicTime m_watchStartedAt;
+    bool m_isListed = false;
+    bool m_isLost = false;
+    int m_failures = 0;
+    std::uint64_t m_calls = 0;
+    bool m_stopped = false;
+};
+
+} // namespace CassiaRelay::GatewayDaemon
--- a/src/libs/common/common.h
+++ b/src/libs/common/common.h
@@ -5,8 +5,10 @@
  */
 
 #include "clock.h"
+#include "endpoint.h"
 #include "error.h"
 #include "hash.h"
+#include "httpfield.h"
 #include "overloaded.h"
 #include "snapshot.h"
 #include "strongid.h"
--- /dev/null
+++ b/src/libs/common/httpfield.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace CassiaRelay {
+
+/** Name and value of an HTTP header field. */
+struct HttpField {
+    std::string name;
+    std::string value;
+};
+
+} // namespace CassiaRelay
--- /dev/null
+++ b/src/libs/gateway/gateway.h
@@ -0,0 +1,24 @@
+#pragma once
+
+/** @file
+ * Public header of the gateway library: the decisions of a daemon that serves routes by host and prefix. No I/O.
+ */
+
+#include "catalogue.h"
+#include "configuration.h"
+#include "crashregister.h"
+#include "eventframer.h"
+#include "members.h"
+#include "piece.h"
+#include "platformport.h"
+#include "refusal.h"
+#include "relayaction.h"
+#include "relaymachine.h"
+#include "relayrequest.h"
+#include "retrybudget.h"
+#include "routetable.h"
+#include "stageplan.h"
+#include "stagepool.h"
+#include "storeentry.h"
+#include "targetbook.h"
+#include "targetrecord.h"
--- /dev/null
+++ b/src/libs/gateway/members.cpp
@@ -0,0 +1,139 @@
+#include "members.h"
+
+namespace CassiaRelay::Gateway {
+
+namespace {
+
+constexpr std::chrono::milliseconds SILENCE_LIMIT { 1000 };  // three greetings missed
+constexpr std::chrono::seconds CANDIDATE_LIFETIME { 10 };    // a restarted machine is back within seconds
+
+} // namespace
+
+Members::Members(VmId self, Endpoint endpoint)
+    : m_self(std::move(self))
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+void Members::setSeeds(std::vector<Endpoint> seeds)
+{
+    for (auto candidate = m_candidates.begin(); candidate != m_candidates.end();) {
+        candidate = candidate->second.isSeed ? m_candidates.erase(candidate) : std::next(candidate);
+    }
+    for (Endpoint &seed : seeds) {
+        if (seed.text() == m_endpoint.text()) {
+            continue;
+        }
+        const std::string key = seed.text();
+        m_candidates[key] = { std::move(seed), {}, true };
+    }
+}
+
+bool Members::onGreeting(const Member &member, const std::vector<Endpoint> &known, MonotonicTime now)
+{
+    for (const Endpoint &endpoint : known) {
+        if (endpoint.text() != m_endpoint.text()) {
+            m_candidates.try_emplace(endpoint.text(), Candidate { endpoint, now, false });
+        }
+    }
+    if (member.vm == m_self) {
+        return false;
+    }
+    const auto found = m_members.find(member.vm);
+    if (found == m_members.end()) {
+        m_members.emplace(member.vm, State { member, now });
+        return true;
+    }
+    State &state = found->second;
+    if (member.incarnation < state.member.incarnation) {
+        return false;
+    }
+    const bool isNews = member.incarnation != state.member.incarnation || member.isLeaving != state.member.isLeaving;
+    state.member = member;
+    state.heardAt = now;
+    return isNews;
+}
+
+std::vector<Member> Members::expire(MonotonicTime now)
+{
+    std::vector<Member> gone;
+    for (auto state = m_members.begin(); state != m_members.end();) {
+        if (state->second.heardAt + SILENCE_LIMIT > now) {
+            ++state;
+            continue;
+        }
+        gone.push_back(state->second.member);
+        m_candidates.try_emplace(state->second.member.endpoint.text(), Candidate { state->second.member.endpoint, now, false });
+        state = m_members.erase(state);
+    }
+    for (auto candidate = m_candidates.begin(); candidate != m_candidates.end();) {
+        const bool isOld = !candidate->second.isSeed && candidate->second.addedAt + CANDIDATE_LIFETIME <= now;
+        candidate = isOld ? m_candidates.erase(candidate) : std::next(candidate);
+    }
+    return gone;
+}
+
+std::vector<Endpoint> Members::greetingList(MonotonicTime)
+{
+    std::vector<Endpoint> list;
+    std::set<std::string> listed;
+    for (const auto &[vm, state] : m_members) {
+        listed.insert(state.member.endpoint.text());
+        // The one with the lower id greets; the answer tells it as much.
+        if (m_self < vm || m_isLeaving) {
+            list.push_back(state.member.endpoint);
+        }
+    }
+    for (const auto &[key, candidate] : m_candidates) {
+        if (listed.count(key) == 0) {
+            list.push_back(candidate.endpoint);
+        }
+    }
+    return list;
+}
+
+std::vector<Member> Members::alive() const
+{
+    std::vector<Member> members;
+    for (const auto &[vm, state] : m_members) {
+        members.push_back(state.member);
+    }
+    return members;
+}
+
+std::vector<Endpoint> Members::known() const
+{
+    std::vector<Endpoint> endpoints;
+    for (const auto &[vm, state] : m_members) {
+        endpoints.push_back(state.member.endpoint);
+    }
+    return endpoints;
+}
+
+std::optional<Member> Members::owner(const ServiceName &service) const
+{
+    const std::uint64_t seed = stableHash(service.value());
+    std::uint64_t highest = m_isLeaving ? 0 : stableHash(m_self.value(), seed);
+    const Member *owner = nullptr;
+    for (const auto &[vm, state] : m_members) {
+        const std::uint64_t rank = stableHash(vm.value(), seed);
+        if (state.member.isLeaving || rank <= highest) {
+            continue;
+        }
+        highest = rank;
+        owner = &state.member;
+    }
+    return owner ? std::optional(*owner) : std::nullopt;
+}
+
+void Members::setLeaving()
+{
+    m_isLeaving = true;
+}
+
+int Members::count() const
+{
+    return static_cast<int>(m_members.size()) + 1;
+}
+
+} // namespace CassiaRelay::Gateway
--- /dev/null
+++ b/src/libs/gateway/ratewindow.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <common/common.h>
+
+#include <deque>
+
+namespace CassiaRelay::Gateway {
+
+/** Counts what happened within a sliding window. */
+class RateWindow
+{
+public:
+    explicit RateWindow(Duration length)
+        : m_length(length)
+    {
+    }
+
+    void add(MonotonicTime now)
+    {
+        forget(now);
+        m_times.push_back(now);
+    }
+
+    std::size_t count(MonotonicTime now)
+    {
+        forget(now);
+        return m_times.size();
+    }
+
+    /** When the oldest one leaves the window; now when it is empty. */
+    MonotonicTime nextExpiry(MonotonicTime now) const
+    {
+        return m_times.empty() ? now : m_times.front() + m_length;
+    }
+
+private:
+    void forget(MonotonicTime now)
+    {
+        while (!m_times.empty() && m_times.front() + m_length <= now) {
+            m_times.pop_front();
+        }
+    }
+
+    Duration m_length;
+    std::deque<MonotonicTime> m_times;
+};
+
+} // namespace CassiaRelay::Gateway
--- /dev/null
+++ b/src/libs/gateway/refusal.cpp
@@ -0,0 +1,52 @@
+#include "refusal.h"
+
+namespace CassiaRelay::Gateway {
+
+namespace {
+
+constexpr unsigned STATUS_BAD_GATEWAY = 502;
+constexpr unsigned STATUS_UNAVAILABLE = 503;
+constexpr unsigned STATUS_GATEWAY_TIMEOUT = 504;
+
+} // namespace
+
+RefuseRequest refusalFor(GiveUpCause cause, RunState state, Duration retryAfter, std::string detail)
+{
+    RefuseRequest refusal;
+    refusal.reason = std::string(toString(cause)) + (detail.empty() ? "" : ": " + detail);
+    if (state == RunState::NotRun) {
+        refusal.status = STATUS_UNAVAILABLE;
+        refusal.retryAfter = retryAfter;
+        return refusal;
+    }
+    const bool outOfTime = cause == GiveUpCause::TimedOut || cause == GiveUpCause::Hopeless;
+    refusal.status = outOfTime ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY;
+    return refusal;
+}
+
+std::string_view toString(GiveUpCause cause)
+{
+    switch (cause) {
+    case GiveUpCause::NoTarget:
+        return "no target may get the request now";
+    case GiveUpCause::TargetRefused:
+        return "the target did not take the request";
+    case GiveUpCause::TargetUnreachable:
+        return "no target could be reached";
+    case GiveUpCause::StagesFailed:
+        return "a stage could not be completed";
+    case GiveUpCause::Hopeless:
+        return "the time that is left does not suffice";
+    case GiveUpCause::TimedOut:
+        return "the request was not answered in time";
+    case GiveUpCause::Broken:
+        return "the target was lost before its answer was whole";
+    case GiveUpCause::NotAnAnswer:
+        return "what the target sent is no whole answer to this request";
+    case GiveUpCause::Banned:
+        return "the request has crashed targets";
+    }
+    return "";
+}
+
+} // namespace CassiaRelay::Gateway
--- /dev/null
+++ b/src/libs/gateway/retrybudget.cpp
@@ -0,0 +1,40 @@
+#include "retrybudget.h"
+
+#include <algorithm>
+
+namespace CassiaRelay::Gateway {
+
+namespace {
+
+constexpr double SAFETY = 0.8; // part of the allowance that is used: windows of the daemons don't start together
+
+} // namespace
+
+RetryBudget::RetryBudget(RetryLimits limits)
+    : m_limits(limits)
+{
+}
+
+void RetryBudget::noteRequest(const ServiceName &service, MonotonicTime now)
+{
+    usage(service).requests.add(now);
+}
+
+bool RetryBudget::take(const ServiceName &service, int vms, MonotonicTime now)
+{
+    Usage &used = usage(service);
+    const double own = m_limits.ratio * static_cast<double>(used.requests.count(now));
+    const double allowed = SAFETY * (own + m_limits.extra / std::max(vms, 1));
+    if (static_cast<double>(used.repeats.count(now)) + 1 > allowed) {
+        return false;
+    }
+    used.repeats.add(now);
+    return true;
+}
+
+RetryBudget::Usage &RetryBudget::usage(const ServiceName &service)
+{
+    return m_usage.try_emplace(service, m_limits.window).first->second;
+}
+
+} // namespace CassiaRelay::Gateway
--- /dev/null
+++ b/src/libs/gateway/routetable.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "configuration.h"
+
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+namespace CassiaRelay::Gateway {
+
+/** Finds the route, service and organisation of a request in one version of the configuration. Immutable. */
+class RouteTable
+{
+public:
+    RouteTable() = default;
+    explicit RouteTable(Configuration configuration);
+    RouteTable(const RouteTable &) = delete;
+    RouteTable &operator=(const RouteTable &) = delete;
+
+    std::int64_t version() const;
+    const CallerLimits &limits() const;
+    /** False when no request needs a key. */
+    bool needsKeys() const;
+    /** The route of the host with the longest prefix that begins the path, or nullptr. */
+    const Route *route(std::string_view host, std::string_view path) const;
+    const Organisation *organisation(std::string_view key) const;
+    const Service *service(const ServiceName &name) const;
+    const std::vector<Service> &services() const;
+    /** Picks a service by weight; the same position always picks the same one. */
+    static const ServiceName &serviceAt(const Route &route, std::uint64_t position);
+
+private:
+    Configuration m_configuration;
+    std::unordered_map<std::string, std::vector<const Route *>> m_routes; ///< by host, longest prefix first
+    std::unordered_map<std::string, const Organisation *> m_organisations; ///< by key
+    std::unordered_map<ServiceName, const Service *> m_services;
+};
+
+using RouteTablePointer = std::shared_ptr<const RouteTable>;
+
+} // namespace CassiaRelay::Gateway
--- /dev/null
+++ b/src/libs/gateway/stageplan.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "piece.h"
+
+#include <optional>
+#include <vector>
+
+namespace CassiaRelay::Gateway {
+
+/** Which stages of one request have run, are running or can run, and where their results lie. */
+class StagePlan
+{
+public:
+    StagePlan() = default;
+    /** @param pieceCounts number of pieces of each stage; missing ones count as 0 */
+    StagePlan(std::vector<RouteStage> stages, const std::vector<int> &pieceCounts);
+
+    /** Stages that can start now; each is returned once. */
+    std::vector<std::size_t> takeReady();
+    /** Every result that the stage needs. */
+    std::vector<std::string> inputs(std::size_t stage) const;
+    std::vector<int> pieces(std::size_t stage) const;
+    void setResult(std::size_t stage, int piece, StageResult result);
+    bool isComplete() const;
+    /** Results of the stages that no other follows, for the request itself. */
+    std::vector<StageResult> finalResults() const;
+    /** Results that no stage and no request needs any more; each is returned once. */
+    std::vector<StageResult> takeSpent();
+    /** All results that lie at targets; forgets them. */
+    std::vector<StageResult> takeAll();
+    /** Starts over. */
+    void reset();
+    /** Stages that still have to run one after the other, this one included. */
+    std::size_t levelsFrom(std::size_t stage) const;
+    /** Stages on the longest path that have not run. */
+    std::size_t levelsLeft() const;
+    const RouteStage &stage(std::size_t index) const;
+    std::size_t size() const;
+    /** Stage of the final results with the largest result, or nothing when there is none. */
+    std::optional<std::size_t> largestFinalStage() const;
+
+private:
+    struct State {
+        RouteStage route;
+        std::vector<std::optional<StageResult>> results;
+        bool isStarted = false;
+        bool isSpent = false;
+    };
+
+    bool isDone(const State &state) const;
+    bool isFinal(std::size_t stage) const;
+
+    std::vector<State> m_stages;
+};
+
+} // namespace CassiaRelay::Gateway
--- /dev/null
+++ b/src/libs/gateway/stagepool.cpp
@@ -0,0 +1,230 @@
+#include "stagepool.h"
+
+#include <algorithm>
+
+namespace CassiaRelay::Gateway {
+
+namespace {
+
+constexpr int MAX_ATTEMPTS = 3;                          // a piece may be made again; more would draw on the shared retry budget
+constexpr double OVERDUE_FACTOR = 3;                     // calls of other daemons may run before, and targets differ in speed
+constexpr std::chrono::milliseconds OVERDUE_SLACK { 500 }; // fetches of inputs and a slow start of the target
+constexpr std::chrono::milliseconds FULL_REST { 60 };    // a fifth of a usual call: the target is full with calls of other daemons
+
+// What the time would have been for a piece alone, so that full and nearly empty calls compare.
+Duration scaled(Duration measured, Duration expectedOfOne, Duration expected)
+{
+    const double factor = static_cast<double>(expectedOfOne.count()) / static_cast<double>(std::max<Duration::rep>(1, expected.count()));
+    return Duration(static_cast<Duration::rep>(static_cast<double>(measured.count()) * factor));
+}
+
+} // namespace
+
+StagePool::StagePool(ServiceName service, PieceCapacity capacity)
+    : m_service(std::move(service))
+    , m_capacity(capacity)
+{
+}
+
+void StagePool::adopt(const PieceCapacity &capacity)
+{
+    m_capacity = capacity;
+}
+
+void StagePool::submit(OrderId order, const PieceOrder &work)
+{
+    for (const int piece : work.pieces) {
+        Waiting waiting;
+        waiting.order = order;
+        waiting.rank = work.rank;
+        waiting.usefulUntil = work.usefulUntil;
+        waiting.item = { { work.request, work.stage, piece }, work.inputKey, work.inputs, work.giveUpAt };
+        m_waiting.push_back(std::move(waiting));
+    }
+}
+
+void StagePool::withdraw(OrderId order)
+{
+    m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(), [&order](const Waiting &piece) { return piece.order == order; }),
+                    m_waiting.end());
+}
+
+std::vector<OrderProgress> StagePool::expire(MonotonicTime now)
+{
+    std::vector<OrderProgress> ends;
+    const Duration shortest = workTime(1);
+    const auto hopeless = [now, shortest](const Waiting &piece) { return now + shortest > piece.item.giveUpAt; };
+    for (const Waiting &piece : m_waiting) {
+        if (hopeless(piece)) {
+            ends.push_back({ piece.order, { piece.item.piece.number, PieceFailure::Late } });
+        }
+    }
+    m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(), hopeless), m_waiting.end());
+    return ends;
+}
+
+std::vector<StageCall> StagePool::dispatch(TargetBook &targets, MonotonicTime now)
+{
+    std::vector<StageCall> calls;
+    while (!m_waiting.empty()) {
+        const std::optional<TargetRecord> target = freeTarget(targets, now);
+        if (!target || !targets.start(target->id, 0, now)) {
+            break;
+        }
+        Running running;
+        running.target = target->id;
+        running.startedAt = now;
+        running.pieces = takeBatch(now);
+        running.expected = workTime(running.pieces.size());
+        StageCall call;
+        call.id = CallId(m_nextCall++);
+        call.target = *target;
+        for (const Waiting &piece : running.pieces) {
+            call.items.push_back(piece.item);
+        }
+        call.overdueAt = now + std::chrono::duration_cast<Duration>(running.expected * OVERDUE_FACTOR) + OVERDUE_SLACK;
+        m_running.emplace(call.id, std::move(running));
+        calls.push_back(std::move(call));
+    }
+    return calls;
+}
+
+std::vector<OrderProgress> StagePool::onAnswered(CallId call, const std::vector<PieceOutcome> &outcomes, TargetBook &targets, MonotonicTime now)
+{
+    std::vector<OrderProgress> ends;
+    const auto found = m_running.find(call);
+    if (found == m_running.end()) {
+        return ends;
+    }
+    Running running = std::move(found->second);
+    m_running.erase(found);
+    targets.finished(running.target, AttemptResult::Succeeded, 0, now);
+    targets.noteLatency(running.target, scaled(now - running.startedAt, workTime(1), running.expected));
+    for (std::size_t index = 0; index < running.pieces.size(); ++index) {
+        Waiting &piece = running.pieces[index];
+        if (index >= outcomes.size()) {
+            retryOrEnd(std::move(piece), PieceFailure::Failed, ends, now);
+            continue;
+        }
+        std::visit(Overloaded {
+                       [&](const StageResult &result) { ends.push_back({ piece.order, { piece.item.piece.number, result } }); },
+                       [&](PieceFailure failure) {
+                           if (failure == PieceFailure::Failed || failure == PieceFailure::NoRoom) {
+                               retryOrEnd(std::move(piece), failure, ends, now);
+                           } else {
+                               ends.push_back({ piece.order, { piece.item.piece.number, failure } });
+                           }
+                       },
+                   },
+                   outcomes[index]);
+    }
+    return ends;
+}
+
+std::vector<OrderProgress> StagePool::onFailed(CallId call, AttemptResult result, TargetBook &targets, MonotonicTime now)
+{
+    std::vector<OrderProgress> ends;
+    const auto found = m_running.find(call);
+    if (found == m_running.end()) {
+        return ends;
+    }
+    Running running = std::move(found->second);
+    m_running.erase(found);
+    targets.finished(running.target, result, 0, now);
+    if (result == AttemptResult::Refused) {
+        m_restUntil[running.target] = now + FULL_REST;
+    }
+    for (Waiting &piece : running.pieces) {
+        // A target that was not reached or refused has not made the piece: that is no attempt.
+        if (result == AttemptResult::Refused || result == AttemptResult::Unreachable) {
+            --piece.attempts;
+        }
+        retryOrEnd(std::move(piece), PieceFailure::Failed, ends, now);
+    }
+    return ends;
+}
+
+std::size_t StagePool::waiting() const
+{
+    return m_waiting.size();
+}
+
+std::size_t StagePool::running() const
+{
+    return m_running.size();
+}
+
+Duration StagePool::expectedWait(int rank, const TargetBook &targets, MonotonicTime now) const
+{
+    const std::size_t usable = std::max<std::size_t>(1, targets.usable(m_service, now).size());
+    std::size_t ahead = 0;
+    for (const Waiting &piece : m_waiting) {
+        if (piece.rank <= rank && piece.usefulUntil > now) {
+            ++ahead;
+        }
+    }
+    const std::size_t batch = static_cast<std::size_t>(std::max(1, m_capacity.batch));
+    const std::size_t calls = ahead / (batch * usable);
+    return workTime(batch) * static_cast<int>(calls) + workTime(std::min(batch, ahead / usable + 1));
+}
+
+Duration StagePool::workTime(std::size_t pieces) const
+{
+    return m_capacity.perCall + m_capacity.perPiece * static_cast<int>(pieces);
+}
+
+std::vector<StagePool::Waiting> StagePool::takeBatch(MonotonicTime now)
+{
+    const Duration shortest = workTime(1);
+    const auto isLate = [now, shortest](const Waiting &piece) { return now + shortest > piece.usefulUntil; };
+    const auto before = [&isLate](const Waiting &left, const Waiting &right) {
+        const bool leftLate = isLate(left);
+        const bool rightLate = isLate(right);
+        if (leftLate != rightLate) {
+            return rightLate;
+        }
+        if (left.rank != right.rank) {
+            return left.rank < right.rank;
+        }
+        return left.usefulUntil < right.usefulUntil;
+    };
+    std::stable_sort(m_waiting.begin(), m_waiting.end(), before);
+    const std::size_t size = std::min(m_waiting.size(), static_cast<std::size_t>(std::max(1, m_capacity.batch)));
+    const auto end = m_waiting.begin() + static_cast<std::ptrdiff_t>(size);
+    std::vector<Waiting> batch(std::make_move_iterator(m_waiting.begin()), std::make_move_iterator(end));
+    m_waiting.erase(m_waiting.begin(), end);
+    return batch;
+}
+
+// The fastest target that has no call of this pool and has not just said that it is full.
+std::optional<TargetRecord> StagePool::freeTarget(const TargetBook &targets, MonotonicTime now) const
+{
+    std::optional<TargetRecord> free;
+    for (const TargetRecord &target : targets.usable(m_service, now)) {
+        const auto rest = m_restUntil.find(target.id);
+        if (rest != m_restUntil.end() && rest->second > now) {
+            continue;
+        }
+        const auto calls = std::count_if(
+            m_running.begin(), m_running.end(), [&target](const auto &running) { return running.second.target == target.id; });
+        if (calls >= std::max(1, m_capacity.slots)) {
+            continue;
+        }
+        if (!free || targets.latency(target.id) < targets.latency(free->id)) {
+            free = target;
+        }
+    }
+    return free;
+}
+
+void StagePool::retryOrEnd(Waiting piece, PieceFailure failure, std::vector<OrderProgress> &ends, MonotonicTime now)
+{
+    ++piece.attempts;
+    if (piece.attempts >= MAX_ATTEMPTS || now + workTime(1) > piece.item.giveUpAt) {
+        ends.push_back({ piece.order, { piece.item.piece.number, failure } });
+        return;
+    }
+    m_waiting.push_back(std::move(piece));
+}
+
+} // namespace CassiaRelay::Gateway
--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -5,7 +5,13 @@
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <array>
+#include <atomic>
+#include <cstdlib>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -18,43 +24,117 @@
 
 namespace {
 
-constexpr std::size_t MAX_IDLE_PER_SERVER = 64;
 constexpr std::size_t READ_BUFFER_BYTES = 8192;
 constexpr std::size_t MAX_HEAD_BYTES = 64 * 1024;
-constexpr std::chrono::seconds CONNECT_TIMEOUT { 2 };
-constexpr const char *REQUEST_ID_FIELD = "X-Request-Id";
+constexpr int MAX_FOREIGN_RESPONSES = 4; // a connection that is further out of step is not worth reading on
+constexpr std::chrono::milliseconds IDLE_SAFETY { 500 }; // a connection is not used so shortly before the server closes it
 
 using Stream = boost::beast::tcp_stream;
 
+/** An idle connection and when it stops being usable. */
+struct IdleConnection {
+    std::unique_ptr<Stream> stream;
+    MonotonicTime usableUntil;
+};
+
+// The "timeout=" parameter of a Keep-Alive field, in whole seconds.
+std::optional<std::chrono::seconds> statedIdleTime(const http::fields &fields)
+{
+    constexpr std::string_view PARAMETER = "timeout=";
+    const auto field = fields.find(http::field::keep_alive);
+    if (field == fields.end()) {
+        return std::nullopt;
+    }
+    const std::string value(field->value());
+    const std::size_t start = value.find(PARAMETER);
+    if (start == std::string::npos) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(std::strtol(value.c_str() + start + PARAMETER.size(), nullptr, 10));
+}
+
+void limitSilence(tcp::socket &socket, std::chrono::milliseconds limit)
+{
+    if (limit.count() == 0) {
+        return;
+    }
+    constexpr int PROBES = 2;
+    const int handle = socket.native_handle();
+    const int milliseconds = static_cast<int>(limit.count());
+    const int seconds = std::max(1, milliseconds / 1000 / PROBES);
+    const int enabled = 1;
+    ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+    ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof enabled);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &PROBES, sizeof PROBES);
+}
+
 } // namespace
 
 /** Idle connections by server. */
 class HttpClient::Pool
 {
 public:
+    explicit Pool(HttpClientLimits limits)
+        : m_limits(limits)
+    {
+    }
+
+    const HttpClientLimits &limits() const
+    {
+        return m_limits;
+    }
+
     std::unique_ptr<Stream> take(const std::string &server)
     {
         const std::lock_guard lock(m_mutex);
-        std::vector<std::unique_ptr<Stream>> &idle = m_idle[server];
+        std::vector<IdleConnection> &idle = m_idle[server];
+        const MonotonicTime now = std::chrono::steady_clock::now();
         while (!idle.empty()) {
-            std::unique_ptr<Stream> stream = std::move(idle.back());
+            IdleConnection connection = std::move(idle.back());
             idle.pop_back();
-            if (isUsable(*stream)) {
-                return stream;
+            if (connection.usableUntil > now && isUsable(*connection.stream)) {
+                return std::move(connection.stream);
             }
         }
         return nullptr;
     }
 
-    void giveBack(const std::string &server, std::unique_ptr<Stream> stream)
+    void giveBack(const std::string &server, std::unique_ptr<Stream> stream, std::optional<std::chrono::seconds> stated)
+    {
+        const Duration usable = stated ? std::min<Duration>(*stated - IDLE_SAFETY, m_limits.maxIdleTime) : m_limits.maxIdleTime;
+        const std::lock_guard lock(m_mutex);
+        std::vector<IdleConnection> &idle = m_idle[server];
+        if (usable > Duration::zero() && idle.size() < m_limits.maxIdlePerServer) {
+            idle.push_back({ std::move(stream), std::chrono::steady_clock::now() + usable });
+        }
+    }
+
+    void closeExpired()
     {
         const std::lock_guard lock(m_mutex);
-        std::vector<std::unique_ptr<Stream>> &idle = m_idle[server];
-        if (idle.size() < MAX_IDLE_PER_SERVER) {
-            idle.push_back(std::move(stream));
+        const MonotonicTime now = std::chrono::steady_clock::now();
+        for (auto server = m_idle.begin(); server != m_idle.end();) {
+            std::vector<IdleConnection> &idle = server->second;
+            const auto expired = [now](const IdleConnection &connection) {
+                return connection.usableUntil <= now || !isUsable(*connection.stream);
+            };
+            idle.erase(std::remove_if(idle.begin(), idle.end(), expired), idle.end());
+            server = idle.empty() ? m_idle.erase(server) : std::next(server);
         }
     }
 
+    void noteOpened()
+    {
+        ++m_opened;
+    }
+
+    std::uint64_t opened() const
+    {
+        return m_opened;
+    }
+
 private:
     // An idle connection on which something can be read was closed by the server, or is out of step.
     static bool isUsable(Stream &stream)
@@ -67,7 +147,9 @@
     }
 
     std::mutex m_mutex;
-    std::map<std::string, std::vector<std::unique_ptr<Stream>>> m_idle;
+    HttpClientLimits m_limits;
+    std::map<std::string, std::vector<IdleConnection>> m_idle;
+    std::atomic<std::uint64_t> m_opened { 0 };
 };
 
 /** One call; lives until its response is whole, has failed or was cancelled. */
@@ -150,7 +232,7 @@
             return;
         }
         m_stream = std::make_unique<Stream>(m_strand);
-        m_stream->expires_at(std::min(m_request.deadline, std::chrono::steady_clock::now() + CONNECT_TIMEOUT));
+        m_stream->expires_at(std::min(m_request.deadline, std::chrono::steady_clock::now() + m_request.connectTimeout));
         m_stream->async_connect(tcp::endpoint(address, m_request.port), [self = shared_from_this()](const error_code &result) {
             if (result) {
                 self->fail(CallFailure::NotSent, "cannot connect to " + self->m_server + ": " + result.message());
@@ -158,6 +240,8 @@
             }
             error_code ignored;
             self->m_stream->socket().set_option(tcp::no_delay(true), ignored);
+            limitSilence(self->m_stream->socket(), self->m_pool->limits().silenceLimit);
+            self->m_pool->noteOpened();
             self->write();
         });
     }
@@ -167,15 +251,7 @@
         if (m_done) {
             return;
         }
-        m_message.method(http::string_to_verb(m_request.method));
-        m_message.target(m_request.path);
-        m_message.set(http::field::host, m_server);
-        m_message.set(http::field::content_type, "application/json");
-        for (const HttpField &field : m_request.fields) {
-            m_message.set(field.name, field.value);
-        }
-        m_message.body() = std::move(m_request.body);
-        m_message.prepare_payload();
+        composeMessage();
         m_stream->expires_never();
         // Checked last: this thread may have been stopped for long since the call was made.
         if (std::chrono::steady_clock::now() >= std::min(m_request.deadline, m_request.sendBefore)) {
@@ -184,17 +260,33 @@
         }
         m_writing = true;
         http::async_write(*m_stream, m_message, [self = shared_from_this()](const error_code &error, std::size_t) {
-            if (error) {
-                self->failWith(error);
-                return;
-            }
-            self->readHead();
+            // A server may answer before it has read the whole request and then close: its answer decides.
+            self->m_written = !error;
         });
+        readHead();
+    }
+
+    void composeMessage()
+    {
+        m_message.method_string(m_request.method);
+        m_message.target(m_request.path);
+        for (const HttpField &field : m_request.fields) {
+            m_message.insert(field.name, field.value);
+        }
+        if (m_message.count(http::field::host) == 0) {
+            m_message.set(http::field::host, m_server);
+        }
+        if (!m_request.contentType.empty() && m_message.count(http::field::content_type) == 0) {
+            m_message.set(http::field::content_type, m_request.contentType);
+        }
+        m_message.body() = std::move(m_request.body);
+        m_message.prepare_payload();
     }
 
     void readHead()
     {
         m_parser.emplace();
+        m_parser->skip(m_request.method == "HEAD");
         m_parser->header_limit(MAX_HEAD_BYTES);
         m_parser->body_limit(boost::none);
         http::async_read_header(*m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
@@ -212,7 +304,8 @@
             return;
         }
         if (!isOurs(m_parser->get())) {
-            fail(CallFailure::Malformed, m_server + " sent the response to another request");
+            m_isForeign = true;
+            readBody();
             return;
         }
         if (m_handlers.onHead) {
@@ -224,8 +317,8 @@
     // Servers that echo the id of the request show which one they answer.
     bool isOurs(const http::response<http::buffer_body> &response) const
     {
-        const auto sent = m_message.find(REQUEST_ID_FIELD);
-        const auto echoed = response.find(REQUEST_ID_FIELD);
+        const auto sent = m_message.find(m_request.requestIdField);
+        const auto echoed = response.find(m_request.requestIdField);
         return sent == m_message.end() || echoed == response.end() || sent->value() == echoed->value();
     }
 
@@ -262,19 +355,34 @@
             return;
         }
         const std::size_t size = m_chunk.size() - m_parser->get().body().size;
-        if (size > 0 && m_handlers.onBody) {
+        if (size > 0 && m_handlers.onBody && !m_isForeign) {
             m_handlers.onBody(std::string(m_chunk.data(), size));
         }
         readBody();
     }
 
+    // The late second response to an earlier request; ours follows on the same connection, or its end.
+    void skipForeignResponse()
+    {
+        if (m_parser->get().keep_alive() && ++m_foreignResponses <= MAX_FOREIGN_RESPONSES) {
+            m_isForeign = false;
+            readHead();
+            return;
+        }
+        fail(CallFailure::Malformed, m_server + " sent the response to another request");
+    }
+
     void finish()
     {
+        if (m_isForeign) {
+            skipForeignResponse();
+            return;
+        }
         m_done = true;
         m_deadlineTimer.cancel();
-        // Bytes after the response belong to none: the connection is out of step.
-        if (m_parser->get().keep_alive() && m_buffer.size() == 0) {
-            m_pool->giveBack(m_server, std::move(m_stream));
+        // Bytes after the response belong to none, and those of an unread request to the next: the connection is out of step.
+        if (m_parser->get().keep_alive() && m_buffer.size() == 0 && m_written) {
+            m_pool->giveBack(m_server, std::move(m_stream), statedIdleTime(m_parser->get().base()));
         } else {
             closeStream();
         }
@@ -327,14 +435,17 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, READ_BUFFER_BYTES> m_chunk {};
     bool m_writing = false; ///< a byte of the request may have left
+    bool m_written = false; ///< all of it has
+    bool m_isForeign = false; ///< the response that is being read is to another request
+    int m_foreignResponses = 0;
     bool m_paused = false;
     bool m_readHeldBack = false;
     bool m_done = false;
 };
 
-HttpClient::HttpClient(boost::asio::io_context &context)
+HttpClient::HttpClient(boost::asio::io_context &context, HttpClientLimits limits)
     : m_context(context)
-    , m_pool(std::make_shared<Pool>())
+    , m_pool(std::make_shared<Pool>(limits))
 {
 }
 
@@ -347,4 +458,14 @@
     return call;
 }
 
+void HttpClient::closeExpired()
+{
+    m_pool->closeExpired();
+}
+
+std::uint64_t HttpClient::connectionsOpened() const
+{
+    return m_pool->opened();
+}
+
 } // namespace CassiaRelay::Net
--- a/src/libs/net/httpclient.h
+++ b/src/libs/net/httpclient.h
@@ -25,6 +25,20 @@
     MonotonicTime sendBefore = MonotonicTime::max();
     /** False opens a new connection, so that a failed connect proves that nothing was sent. */
     bool reuseConnection = true;
+    /** Empty when the fields hold one, or there is no body. */
+    std::string contentType = "application/json";
+    /** Servers that echo this field show which request they answer. */
+    std::string requestIdField = "X-Request-Id";
+    Duration connectTimeout = std::chrono::seconds(2);
+};
+
+/** How the connections of a client are kept. */
+struct HttpClientLimits {
+    std::size_t maxIdlePerServer = 64;
+    /** A connection that has been idle for longer is not used again; servers that state a shorter time are believed. */
+    Duration maxIdleTime = std::chrono::seconds(30);
+    /** Time after which unacknowledged bytes or keep-alive probes end a connection; zero leaves that to the system. */
+    std::chrono::milliseconds silenceLimit { 0 };
 };
 
 /** Why a call ended without a whole response. */
@@ -66,12 +80,16 @@
 class HttpClient
 {
 public:
-    explicit HttpClient(boost::asio::io_context &context);
+    explicit HttpClient(boost::asio::io_context &context, HttpClientLimits limits = {});
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
     std::shared_ptr<HttpCall> send(HttpCallRequest request, HttpCallHandlers handlers);
+    /** Closes idle connections that will not be used again. */
+    void closeExpired();
+    /** Connections opened so far. */
+    std::uint64_t connectionsOpened() const;
 
 private:
     class Pool;
--- a/src/libs/net/httpexchange.h
+++ b/src/libs/net/httpexchange.h
@@ -13,16 +13,10 @@
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
-/** Name and value of an HTTP header field. */
-struct HttpField {
-    std::string name;
-    std::string value;
-};
-
 /** A whole response. */
 struct HttpResponse {
     unsigned status = 200;
-    std::string contentType = "application/json";
+    std::string contentType = "application/json"; ///< empty: the fields hold it
     std::string body;
     std::vector<HttpField> fields;
 };
@@ -34,6 +28,8 @@
     virtual ~HttpExchange() = default;
 
     virtual const HttpRequest &request() const = 0;
+    /** When the first byte of the request was read. */
+    virtual MonotonicTime arrivedAt() const = 0;
     /** Sends a whole response. */
     virtual void respond(HttpResponse response) = 0;
     /** Sends the header of a response whose body follows in parts. */
--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -31,7 +31,7 @@
     , m_acceptTimer(m_strand)
     , m_state(std::make_shared<HttpServerState>())
 {
-    m_state->limits = limits;
+    m_state->limits.store(std::make_shared<const HttpLimits>(limits));
     m_state->handler = std::move(handler);
     m_state->tls = std::move(tls);
     try {
@@ -55,6 +55,11 @@
     boost::asio::dispatch(m_strand, [this] { accept(); });
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_state->limits.store(std::make_shared<const HttpLimits>(limits));
+}
+
 void HttpServer::drain()
 {
     m_state->draining = true;
@@ -130,7 +135,7 @@
 void HttpServer::serve(tcp::socket socket)
 {
     const std::size_t open = m_state->connections.load();
-    const std::size_t limit = m_state->limits.maxConnections;
+    const std::size_t limit = m_state->limits.load()->maxConnections;
     if (open >= limit + MAX_REFUSED_CONNECTIONS) {
         return;
     }
--- a/src/libs/net/httpserver.h
+++ b/src/libs/net/httpserver.h
@@ -22,6 +22,8 @@
     std::size_t maxBodyBytes = 1024 * 1024;
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxConnections = 20000;
+    /** Time for the header of a request. */
+    std::chrono::milliseconds headerTimeout { 10000 };
     /** Time for one whole request. */
     std::chrono::milliseconds readTimeout { 10000 };
     /** Time between two requests of a connection. */
@@ -49,6 +51,8 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     void start();
+    /** For requests that begin after this. From any thread. */
+    void setLimits(const HttpLimits &limits);
     /** Goes on accepting, but each connection is closed after its current request or a short idle time. From any thread. */
     void drain();
     /** Serves what the system has accepted so far and accepts no more; connections() falls to 0 when all is answered. */
--- a/src/libs/net/httpserverstate.h
+++ b/src/libs/net/httpserverstate.h
@@ -11,7 +11,7 @@
 
 /** What the sessions of a server share; outlives the server until the last of them is gone. */
 struct HttpServerState {
-    HttpLimits limits;
+    Snapshot<HttpLimits> limits;
     HttpHandler handler;
     std::shared_ptr<boost::asio::ssl::context> tls;
     std::atomic<std::size_t> connections { 0 };
--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -53,7 +53,7 @@
 void HttpSession::start()
 {
     run([](HttpSession &session) {
-        session.expireAfter(session.m_state->limits.readTimeout);
+        session.expireAfter(session.m_state->limits.load()->readTimeout);
         session.m_stream.handshake([self = session.shared_from_this()](const error_code &error) {
             if (error || self->m_phase == Phase::Closed) {
                 self->close();
@@ -87,8 +87,7 @@
         return;
     }
     if (m_buffer.size() > 0) {
-        m_phase = Phase::Reading;
-        expireAfter(m_state->limits.readTimeout);
+        beginReading();
         parse();
         return;
     }
@@ -96,7 +95,7 @@
     if (!m_reading) {
         m_chunk = {};
     }
-    expireAfter(m_state->draining ? DRAIN_IDLE_TIMEOUT : m_state->limits.idleTimeout);
+    expireAfter(m_state->draining ? DRAIN_IDLE_TIMEOUT : m_state->limits.load()->idleTimeout);
     readMore();
 }
 
@@ -136,8 +135,7 @@
         m_buffer.commit(bytes);
     }
     if (m_phase == Phase::Idle) {
-        m_phase = Phase::Reading;
-        expireAfter(m_state->limits.readTimeout);
+        beginReading();
     }
     if (m_phase == Phase::Reading) {
         parse();
@@ -156,14 +154,23 @@
     close();
 }
 
+void HttpSession::beginReading()
+{
+    m_phase = Phase::Reading;
+    m_requestBegan = std::chrono::steady_clock::now();
+    const auto limits = m_state->limits.load();
+    expireAfter(std::min(limits->headerTimeout, limits->readTimeout));
+}
+
 void HttpSession::parse()
 {
     if (!m_parser) {
         m_parser.emplace();
         m_parser->eager(true);
-        m_parser->body_limit(m_state->limits.maxBodyBytes);
-        m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.maxHeaderBytes));
+        m_parser->body_limit(m_state->limits.load()->maxBodyBytes);
+        m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.load()->maxHeaderBytes));
     }
+    const bool hadHeader = m_parser->is_header_done();
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         error_code error;
         m_buffer.consume(m_parser->put(m_buffer.data(), error));
@@ -177,6 +184,9 @@
     }
     if (m_parser->is_done()) {
         handleRequest();
+    } else if (!hadHeader && m_parser->is_header_done()) {
+        const Duration elapsed = std::chrono::steady_clock::now() - m_requestBegan;
+        expireAfter(m_state->limits.load()->readTimeout - elapsed);
     }
     readMore();
 }
@@ -186,7 +196,7 @@
     neverExpire();
     m_phase = Phase::Answering;
     m_lastQueued = false;
-    m_exchange = std::make_shared<SessionExchange>(shared_from_this(), m_parser->release());
+    m_exchange = std::make_shared<SessionExchange>(shared_from_this(), m_parser->release(), m_requestBegan);
     m_parser.reset();
     m_keepAlive = m_exchange->request().keep_alive();
     const std::shared_ptr<SessionExchange> exchange = m_exchange;
@@ -231,7 +241,7 @@
         return;
     }
     if (!m_writing) {
-        expireAfter(m_state->limits.stalledReaderTimeout);
+        expireAfter(m_state->limits.load()->stalledReaderTimeout);
         writeNext();
     }
 }
@@ -279,7 +289,7 @@
         onAllWritten();
         return;
     }
-    expireAfter(m_state->limits.stalledReaderTimeout);
+    expireAfter(m_state->limits.load()->stalledReaderTimeout);
     writeNext();
 }
 
@@ -306,10 +316,14 @@
     if (m_state->draining) {
         m_keepAlive = false;
     }
-    http::response<http::empty_body> head(static_cast<http::status>(response.status), 11);
-    head.set(http::field::content_type, response.contentType);
+    http::response<http::empty_body> head;
+    head.version(11);
+    head.result(response.status);
+    if (!response.contentType.empty()) {
+        head.set(http::field::content_type, response.contentType);
+    }
     for (const HttpField &field : response.fields) {
-        head.set(field.name, field.value);
+        head.insert(field.name, field.value);
     }
     head.keep_alive(m_keepAlive);
     if (chunked) {
--- a/src/libs/net/httpsession.h
+++ b/src/libs/net/httpsession.h
@@ -50,6 +50,7 @@
     void readMore();
     void onRead(const boost::system::error_code &error, std::size_t bytes);
     void onReadFailed(const boost::system::error_code &error);
+    void beginReading();
     void parse();
     void handleRequest();
     void refuse(ErrorKind kind, unsigned status, const std::string &detail);
@@ -75,6 +76,7 @@
     ServerStream m_stream;
     std::shared_ptr<HttpServerState> m_state;
     boost::asio::steady_timer m_timer;
+    MonotonicTime m_requestBegan; ///< first byte of the request that is being read
     MonotonicTime m_expiry = MonotonicTime::max();
     bool m_timerRuns = false;
     Phase m_phase = Phase::Handshake;
--- a/src/libs/net/sessionexchange.cpp
+++ b/src/libs/net/sessionexchange.cpp
@@ -17,12 +17,18 @@
 
 } // namespace
 
-SessionExchange::SessionExchange(std::shared_ptr<HttpSession> session, HttpRequest request)
+SessionExchange::SessionExchange(std::shared_ptr<HttpSession> session, HttpRequest request, MonotonicTime arrivedAt)
     : m_session(std::move(session))
     , m_request(std::move(request))
+    , m_arrivedAt(arrivedAt)
 {
 }
 
+MonotonicTime SessionExchange::arrivedAt() const
+{
+    return m_arrivedAt;
+}
+
 const HttpRequest &SessionExchange::request() const
 {
     return m_request;
--- a/src/libs/net/sessionexchange.h
+++ b/src/libs/net/sessionexchange.h
@@ -10,9 +10,10 @@
 class SessionExchange : public HttpExchange, public std::enable_shared_from_this<SessionExchange>
 {
 public:
-    SessionExchange(std::shared_ptr<HttpSession> session, HttpRequest request);
+    SessionExchange(std::shared_ptr<HttpSession> session, HttpRequest request, MonotonicTime arrivedAt);
 
     const HttpRequest &request() const override;
+    MonotonicTime arrivedAt() const override;
     void respond(HttpResponse response) override;
     void startStream(HttpResponse head) override;
     void writeStream(std::string part) override;
@@ -35,6 +36,7 @@
 
     std::shared_ptr<HttpSession> m_session;
     HttpRequest m_request;
+    MonotonicTime m_arrivedAt;
     std::atomic<std::size_t> m_queuedBytes { 0 };
     std::function<void()> m_drainedHandler;
     std::function<void()> m_closedHandler;
--- a/src/libs/schema/documents.cpp
+++ b/src/libs/schema/documents.cpp
@@ -9,6 +9,11 @@
     return PROCESSSETTINGS_SCHEMA;
 }
 
+std::string_view gatewaySettingsSchema()
+{
+    return GATEWAYSETTINGS_SCHEMA;
+}
+
 std::string_view fleetConfigurationSchema()
 {
     return FLEETCONFIGURATION_SCHEMA;
--- a/src/libs/schema/documents.h
+++ b/src/libs/schema/documents.h
@@ -20,6 +20,7 @@
 
 /** Schema sources, for validation of what people write. */
 std::string_view processSettingsSchema();
+std::string_view gatewaySettingsSchema();
 std::string_view fleetConfigurationSchema();
 std::string_view vmListSchema();
 std::string_view targetListSchema();
--- a/src/libs/settings/document.cpp
+++ b/src/libs/settings/document.cpp
@@ -5,6 +5,8 @@
 #include <valijson/schema_parser.hpp>
 #include <valijson/validator.hpp>
 
+#include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace CassiaRelay::Settings {
@@ -47,6 +49,17 @@
     return m_problems;
 }
 
+std::string readTextFile(const std::string &fileName)
+{
+    const std::ifstream file(fileName);
+    if (!file) {
+        throw Error(ErrorKind::SettingsInvalid, "cannot read " + fileName, "give the path of a readable file to --settings");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 nlohmann::json parseDocument(std::string_view text, const std::string &source)
 {
     try {
--- a/src/libs/settings/document.h
+++ b/src/libs/settings/document.h
@@ -8,6 +8,9 @@
 
 namespace CassiaRelay::Settings {
 
+/** @throws Error (SettingsInvalid) when the file can't be read */
+std::string readTextFile(const std::string &fileName);
+
 /**
  * Parses JSON with comments.
  * @param source names the file or revision in messages
--- a/src/libs/settings/processsettings.cpp
+++ b/src/libs/settings/processsettings.cpp
@@ -2,20 +2,11 @@
 
 #include "document.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace CassiaRelay::Settings {
 
 ProcessSettings loadProcessSettings(const std::string &fileName)
 {
-    const std::ifstream file(fileName);
-    if (!file) {
-        throw Error(ErrorKind::SettingsInvalid, "cannot read " + fileName, "give the path of a readable file to --settings");
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return parseProcessSettings(text.str(), fileName);
+    return parseProcessSettings(readTextFile(fileName), fileName);
 }
 
 ProcessSettings parseProcessSettings(std::string_view text, const std::string &source)
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -7,6 +7,7 @@
 #include "document.h"
 #include "explain.h"
 #include "fleetsettings.h"
+#include "gatewaysettings.h"
 #include "problem.h"
 #include "processsettings.h"
 #include "publisheddocument.h"
