Account the room for results where pieces are gathered; refuse late in shutdown; end graces on time

Now frees go through the gathering daemon, which counts the room; results are freed at the first event; a branch starts when the longest one has as few stages left; the cache key decides the engine and its domain the stage targets.

--- a/src/app/gateway/frontdoor.cpp
+++ b/src/app/gateway/frontdoor.cpp
@@ -13,6 +13,7 @@
 constexpr unsigned STATUS_NOT_FOUND = 404;
 constexpr unsigned STATUS_UNAVAILABLE = 503;
 constexpr std::chrono::milliseconds RETRY_AFTER_START { 500 };   // a daemon that has started has its configuration within this
+constexpr std::chrono::milliseconds RETRY_ELSEWHERE { 50 };      // a new connection reaches another daemon
 constexpr std::chrono::milliseconds DEFAULT_PATIENCE { 30000 };  // of callers that do not say how long they wait
 
 std::string pathOf(const std::string &target)
@@ -58,6 +59,11 @@
         refuse(exchange, head, { STATUS_UNAUTHORIZED, std::nullopt, "the key is unknown; send a key of your organisation as bearer token" });
         return;
     }
+    const std::optional<Shutdown> &shutdown = m_services.shutdown;
+    if (shutdown && !Gateway::mayTakeDuringShutdown(*route, std::chrono::steady_clock::now() - shutdown->began, shutdown->total)) {
+        refuse(exchange, head, { STATUS_UNAVAILABLE, RETRY_ELSEWHERE, "this daemon is shutting down" });
+        return;
+    }
     Gateway::RelayRequest request;
     request.id = head.id;
     request.table = table;
--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -83,6 +83,7 @@
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     , m_shutdownTimer(m_context)
     , m_houseTimer(m_context)
+    , m_expiryTimer(m_context)
 {
     const auto serve = [this](const Endpoint &endpoint, void (GatewayDaemon::*handler)(const Net::HttpExchangePointer &)) {
         return std::make_unique<Net::HttpServer>(
@@ -136,6 +137,22 @@
         std::visit([this](const auto &one) { adopt(one); }, change);
     }
     m_pieces.pumpAll();
+    expireLater();
+}
+
+// Entries whose grace ends must go then, not at the next round of housekeeping.
+void GatewayDaemon::expireLater()
+{
+    const std::optional<MonotonicTime> next = m_catalogue.nextExpiry();
+    if (!next) {
+        return;
+    }
+    m_expiryTimer.expires_at(*next);
+    m_expiryTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            onCatalogueChanges(m_catalogue.expire(std::chrono::steady_clock::now()));
+        }
+    });
 }
 
 void GatewayDaemon::adopt(const Gateway::TargetAdopted &change)
@@ -206,6 +223,8 @@
         m_peers->handle(exchange);
     } else if (target == PieceBroker::PATH) {
         m_pieces.handle(exchange);
+    } else if (target == PieceBroker::FREES_PATH) {
+        m_pieces.handleFrees(exchange);
     } else {
         exchange->respond(plainResponse(STATUS_NOT_FOUND, "unknown path\n"));
     }
@@ -274,6 +293,7 @@
 {
     m_isDraining = true;
     m_shutdownBegan = std::chrono::steady_clock::now();
+    m_services.shutdown = Shutdown { m_shutdownBegan, m_settings.shutdownTime - SHUTDOWN_RESERVE };
     m_log.write("stopping", { { "active", std::to_string(m_services.activeRequests) } }, m_shutdownBegan);
     if (m_peers) {
         m_peers->leave();
--- a/src/app/gateway/gatewaydaemon.h
+++ b/src/app/gateway/gatewaydaemon.h
@@ -33,6 +33,7 @@
     void adopt(const Gateway::DomainChanged &change);
     void adopt(const Gateway::TableAdopted &change);
     void adopt(const Gateway::EntryRejected &change);
+    void expireLater();
     void onMembersChanged();
     void handlePeer(const Net::HttpExchangePointer &exchange);
     void handleReadiness(const Net::HttpExchangePointer &exchange);
@@ -72,6 +73,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_shutdownTimer;
     boost::asio::steady_timer m_houseTimer;
+    boost::asio::steady_timer m_expiryTimer;
     MonotonicTime m_shutdownBegan;
     bool m_isDraining = false;
 };
--- a/src/app/gateway/gatewayservices.h
+++ b/src/app/gateway/gatewayservices.h
@@ -9,6 +9,12 @@
 
 namespace CassiaRelay::GatewayDaemon {
 
+/** A graceful shutdown under way. */
+struct Shutdown {
+    MonotonicTime began;
+    Duration total {}; ///< until the process ends
+};
+
 /** What all requests of a daemon share; lives on its one thread. */
 struct GatewayServices {
     boost::asio::io_context &context;
@@ -20,6 +26,7 @@
     Metrics::Registry &metrics;
     EventLog &log;
     std::size_t activeRequests = 0;
+    std::optional<Shutdown> shutdown = std::nullopt;
 };
 
 } // namespace CassiaRelay::GatewayDaemon
--- a/src/app/gateway/peerlink.cpp
+++ b/src/app/gateway/peerlink.cpp
@@ -95,7 +95,7 @@
         m_log.write("peer lost", { { "vm", member.vm.value() }, { "address", member.endpoint.text() } }, now);
     }
     m_crashes.forgetOld(now);
-    for (const Endpoint &endpoint : m_members.greetingList(now)) {
+    for (const Endpoint &endpoint : m_members.greetingList()) {
         greet(endpoint);
     }
     if (!gone.empty()) {
--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -12,7 +12,7 @@
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_MISDIRECTED = 421;
 constexpr std::chrono::milliseconds WAKE_INTERVAL { 25 };   // a tenth of a usual call
-constexpr std::chrono::milliseconds FREE_INTERVAL { 60 };   // gathers what several requests free at one target
+constexpr std::chrono::milliseconds FREE_INTERVAL { 30 };   // gathers what several requests free at one target
 constexpr std::chrono::milliseconds AVOID_TIME { 1000 };    // time in which a daemon that is gone is noticed
 constexpr std::chrono::milliseconds CONNECT_PATIENCE { 300 };
 constexpr std::chrono::milliseconds FREE_PATIENCE { 1000 };
@@ -40,6 +40,9 @@
     message.usefulMs = millisecondsUntil(work.usefulUntil, now);
     message.resultBytes = static_cast<std::int64_t>(work.resultBytes);
     message.pieceKey = work.inputKey;
+    if (work.preferredDomain) {
+        message.preferredDomain = work.preferredDomain->value();
+    }
     message.inputs = work.inputs;
     message.pieces.assign(work.pieces.begin(), work.pieces.end());
     return message;
@@ -56,6 +59,9 @@
     work.usefulUntil = now + std::chrono::milliseconds(message.usefulMs);
     work.resultBytes = static_cast<std::size_t>(message.resultBytes);
     work.inputKey = message.pieceKey.value_or(std::string());
+    if (message.preferredDomain) {
+        work.preferredDomain = FailureDomain(*message.preferredDomain);
+    }
     work.inputs = message.inputs.value_or(std::vector<std::string>());
     work.pieces.assign(message.pieces.begin(), message.pieces.end());
     return work;
@@ -165,6 +171,32 @@
     return Gateway::AttemptResult::Broken;
 }
 
+Net::HttpCallRequest peerRequest(const Gateway::Member &peer, const char *path, std::string body)
+{
+    Net::HttpCallRequest request;
+    request.address = peer.endpoint.address;
+    request.port = peer.endpoint.port;
+    request.method = "POST";
+    request.path = path;
+    request.contentType = "application/cbor";
+    request.body = std::move(body);
+    request.connectTimeout = CONNECT_PATIENCE;
+    return request;
+}
+
+Net::HttpCallRequest targetRequest(const Gateway::TargetRecord &target, Gateway::WireCall wire)
+{
+    Net::HttpCallRequest request;
+    request.address = target.endpoint.address;
+    request.port = target.endpoint.port;
+    request.method = std::move(wire.method);
+    request.path = std::move(wire.path);
+    request.fields = std::move(wire.fields);
+    request.body = std::move(wire.body);
+    request.connectTimeout = CONNECT_PATIENCE;
+    return request;
+}
+
 } // namespace
 
 PieceBroker::PieceBroker(boost::asio::io_context &context,
@@ -230,8 +262,12 @@
 
 void PieceBroker::free(const std::vector<Gateway::StageResult> &results)
 {
+    // A target that is gone has lost its results anyway.
     for (const Gateway::StageResult &result : results) {
-        m_frees[result.target].push_back(result.handle);
+        const std::optional<Gateway::TargetRecord> record = m_targets.find(result.target);
+        if (record) {
+            m_frees[record->service].push_back(result);
+        }
     }
     if (!m_frees.empty()) {
         freeLater();
@@ -267,6 +303,24 @@
     placeHere(id);
 }
 
+void PieceBroker::handleFrees(const Net::HttpExchangePointer &exchange)
+{
+    Net::HttpResponse response;
+    response.contentType.clear();
+    try {
+        const auto message = Schema::parseBoundedCbor(exchange->request().body()).get<Schema::FreedResults>();
+        std::vector<Gateway::StageResult> results;
+        for (const Schema::FreedResult &result : message.results) {
+            results.push_back({ result.handle, TargetId(result.target) });
+        }
+        releaseHere(Gateway::ServiceName(message.service), results);
+    } catch (const std::exception &error) {
+        m_log.write("frees unreadable", { { "reason", error.what() } }, std::chrono::steady_clock::now());
+        response.status = STATUS_BAD_REQUEST;
+    }
+    exchange->respond(std::move(response));
+}
+
 void PieceBroker::adopt(const Gateway::RouteTable &table)
 {
     for (const Gateway::Service &service : table.services()) {
@@ -350,15 +404,8 @@
     Order &order = m_orders.at(id);
     order.owner = owner.vm;
     m_ordersElsewhere.add();
-    Net::HttpCallRequest request;
-    request.address = owner.endpoint.address;
-    request.port = owner.endpoint.port;
-    request.method = "POST";
-    request.path = PATH;
-    request.contentType = "application/cbor";
-    request.body = toCbor(json(toMessage(order.work, now)));
+    Net::HttpCallRequest request = peerRequest(owner, PATH, toCbor(json(toMessage(order.work, now))));
     request.deadline = std::max(order.work.giveUpAt, now) + ANSWER_TIME;
-    request.connectTimeout = CONNECT_PATIENCE;
     auto status = std::make_shared<unsigned>(0);
     auto body = std::make_shared<std::string>();
     Net::HttpCallHandlers handlers;
@@ -429,16 +476,8 @@
     const MonotonicTime now = std::chrono::steady_clock::now();
     m_calls.add();
     m_pieces.add(call.items.size());
-    Gateway::WireCall wire = m_port.stageCall(call, now);
-    Net::HttpCallRequest request;
-    request.address = call.target.endpoint.address;
-    request.port = call.target.endpoint.port;
-    request.method = std::move(wire.method);
-    request.path = std::move(wire.path);
-    request.fields = std::move(wire.fields);
-    request.body = std::move(wire.body);
+    Net::HttpCallRequest request = targetRequest(call.target, m_port.stageCall(call, now));
     request.deadline = call.overdueAt;
-    request.connectTimeout = CONNECT_PATIENCE;
     struct Reply {
         Gateway::StageCall call;
         Gateway::TargetAnswer answer;
@@ -572,24 +611,60 @@
     });
 }
 
-// A target that is gone has lost its results anyway, and one that does not hear of it drops them after a while.
+// The daemon that gathers the pieces of a service must know how much room its targets have.
 void PieceBroker::sendFrees()
 {
-    for (auto &[target, handles] : std::exchange(m_frees, {})) {
+    for (const auto &[service, results] : std::exchange(m_frees, {})) {
+        const std::optional<Gateway::Member> owner = m_members.owner(service);
+        if (owner) {
+            sendFreesToOwner(*owner, service, results);
+        } else {
+            releaseHere(service, results);
+        }
+    }
+    sendFreesToTargets();
+}
+
+void PieceBroker::sendFreesToOwner(const Gateway::Member &owner,
+                                   const Gateway::ServiceName &service,
+                                   const std::vector<Gateway::StageResult> &results)
+{
+    Schema::FreedResults message;
+    message.service = service.value();
+    for (const Gateway::StageResult &result : results) {
+        message.results.push_back({ result.handle, result.target.value() });
+    }
+    Net::HttpCallRequest request = peerRequest(owner, FREES_PATH, toCbor(json(message)));
+    request.deadline = std::chrono::steady_clock::now() + FREE_PATIENCE;
+    Net::HttpCallHandlers handlers;
+    handlers.onFailed = [this, service = service, results](Net::CallFailure, const std::string &reason) {
+        m_log.write("frees not passed on", { { "service", service.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
+        releaseHere(service, results);
+    };
+    m_peerClient.send(std::move(request), std::move(handlers));
+}
+
+void PieceBroker::releaseHere(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results)
+{
+    for (const Gateway::StageResult &result : results) {
+        pool(service).release(result);
+        m_targetFrees[result.target].push_back(result.handle);
+    }
+    freeLater();
+    pump(service);
+}
+
+// A target that does not hear of it drops the results after a while.
+void PieceBroker::sendFreesToTargets()
+{
+    for (auto &[target, handles] : std::exchange(m_targetFrees, {})) {
         const std::optional<Gateway::TargetRecord> record = m_targets.find(target);
         if (!record) {
             continue;
         }
         Gateway::WireCall wire = m_port.freeCall(handles);
-        Net::HttpCallRequest request;
-        request.address = record->endpoint.address;
-        request.port = record->endpoint.port;
-        request.method = std::move(wire.method);
-        request.path = std::move(wire.path);
-        request.fields = std::move(wire.fields);
-        request.body = std::move(wire.body);
+        Net::HttpCallRequest request = targetRequest(*record, std::move(wire));
         request.deadline = std::chrono::steady_clock::now() + FREE_PATIENCE;
-        request.connectTimeout = CONNECT_PATIENCE;
         Net::HttpCallHandlers handlers;
         handlers.onFailed = [this, id = target](Net::CallFailure, const std::string &reason) {
             m_log.write("results not freed", { { "target", id.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -48,7 +48,11 @@
     void pumpAll();
     void stop();
 
+    /** Results that another daemon needs no more. */
+    void handleFrees(const Net::HttpExchangePointer &exchange);
+
     static constexpr const char *PATH = "/cell/pieces";
+    static constexpr const char *FREES_PATH = "/cell/frees";
 
 private:
     struct Order {
@@ -81,6 +85,9 @@
     void wakeLater();
     void freeLater();
     void sendFrees();
+    void sendFreesToOwner(const Gateway::Member &owner, const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results);
+    void sendFreesToTargets();
+    void releaseHere(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results);
 
     boost::asio::io_context &m_context;
     Net::HttpClient &m_targetClient;
@@ -98,7 +105,8 @@
     std::unordered_map<Gateway::ServiceName, Gateway::PieceCapacity> m_capacities;
     std::map<Gateway::OrderId, Order> m_orders;
     std::map<VmId, MonotonicTime> m_avoidUntil; ///< owners that failed an order
-    std::map<TargetId, std::vector<std::string>> m_frees;
+    std::map<Gateway::ServiceName, std::vector<Gateway::StageResult>> m_frees; ///< not told to the daemon that gathers the service
+    std::map<TargetId, std::vector<std::string>> m_targetFrees;               ///< not told to the target
     boost::asio::steady_timer m_wakeTimer;
     boost::asio::steady_timer m_freeTimer;
     bool m_isWaking = false;
--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -141,7 +141,7 @@
 void StoreWatcher::onFailure(const std::string &reason)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
-    m_catalogue.noteTrouble(now);
+    m_catalogue.noteTrouble();
     if (!std::exchange(m_isLost, true)) {
         m_log.write("store lost", { { "reason", reason }, { "revision", std::to_string(m_catalogue.revision()) } }, now);
     }
@@ -157,7 +157,7 @@
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
     m_failures = 0;
-    m_catalogue.noteAnswer(now);
+    m_catalogue.noteAnswer();
     if (std::exchange(m_isLost, false)) {
         m_log.write("store regained", { { "revision", std::to_string(m_catalogue.revision()) } }, now);
     }
--- a/src/libs/gateway/catalogue.cpp
+++ b/src/libs/gateway/catalogue.cpp
@@ -14,6 +14,7 @@
     for (const StoreEntry &entry : changes.entries) {
         apply(entry, result, now);
     }
+    m_isFirstAnswer = false;
     m_revision = std::max(m_revision, changes.revision);
     return result;
 }
@@ -47,20 +48,31 @@
         }
     }
     m_revision = revision;
+    m_isFirstAnswer = false;
     return result;
 }
 
-void Catalogue::noteTrouble(MonotonicTime)
+void Catalogue::noteTrouble()
 {
     m_inTrouble = true;
 }
 
-void Catalogue::noteAnswer(MonotonicTime now)
+void Catalogue::noteAnswer()
 {
+    m_isFirstAnswer = m_isFirstAnswer || m_inTrouble;
+    m_inTrouble = false;
+}
+
+std::optional<MonotonicTime> Catalogue::nextExpiry() const
+{
+    std::optional<MonotonicTime> next;
     if (m_inTrouble) {
-        m_inTrouble = false;
-        m_graceUntil = now + RETURN_GRACE;
+        return next;
+    }
+    for (const auto &[id, until] : m_doubtful) {
+        next = next ? std::min(*next, until) : until;
     }
+    return next;
 }
 
 CatalogueChanges Catalogue::expire(MonotonicTime now)
@@ -143,8 +155,8 @@
     if (known == m_targets.end()) {
         return;
     }
-    if (isInGrace(now) && !known->second.isLeaving) {
-        m_doubtful.emplace(id, m_graceUntil);
+    if (m_isFirstAnswer && !known->second.isLeaving) {
+        m_doubtful.emplace(id, now + RETURN_GRACE);
         return;
     }
     m_doubtful.erase(id);
@@ -152,9 +164,4 @@
     changes.emplace_back(TargetDropped { id, false });
 }
 
-bool Catalogue::isInGrace(MonotonicTime now) const
-{
-    return m_inTrouble || now < m_graceUntil;
-}
-
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/catalogue.h
+++ b/src/libs/gateway/catalogue.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace CassiaRelay::Gateway {
@@ -34,8 +35,8 @@
 /**
  * What the daemon believes of the store: the newest configuration, the domains that are out and the targets.
  *
- * A version is never replaced by an older one. Entries that vanish while the store is in trouble stay believed for a short grace after
- * its return, because they may have lapsed only for lack of a store to renew them at.
+ * A version is never replaced by an older one. Entries that vanished while the store was in trouble stay believed for a short grace
+ * after its return, because they may have lapsed only for lack of a store to renew them at. What vanishes later is gone at once.
  */
 class Catalogue
 {
@@ -44,10 +45,12 @@
     /** A whole listing; what it does not hold is gone. */
     CatalogueChanges applyListing(const std::vector<StoreEntry> &entries, std::int64_t revision, MonotonicTime now);
     /** The store has not answered, or turned this daemon away. */
-    void noteTrouble(MonotonicTime now);
-    void noteAnswer(MonotonicTime now);
+    void noteTrouble();
+    void noteAnswer();
     /** Drops entries whose grace has ended. */
     CatalogueChanges expire(MonotonicTime now);
+    /** When the next grace ends; nothing while the store is in trouble or no entry is in doubt. */
+    std::optional<MonotonicTime> nextExpiry() const;
 
     const RouteTablePointer &table() const;
     bool hasTargets() const;
@@ -58,7 +61,6 @@
     void adoptConfiguration(const Configuration &configuration, CatalogueChanges &changes);
     void adoptTarget(const TargetRecord &record, CatalogueChanges &changes);
     void dropTarget(const TargetId &id, CatalogueChanges &changes, MonotonicTime now);
-    bool isInGrace(MonotonicTime now) const;
 
     RouteTablePointer m_table;
     std::map<TargetId, TargetRecord> m_targets;
@@ -66,7 +68,7 @@
     std::set<FailureDomain> m_domainsOut;
     std::int64_t m_revision = 0;
     bool m_inTrouble = false;
-    MonotonicTime m_graceUntil;
+    bool m_isFirstAnswer = false; ///< what is being applied is the first answer after trouble
 };
 
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/configuration.h
+++ b/src/libs/gateway/configuration.h
@@ -72,6 +72,7 @@
     Duration perCall {};
     Duration perPiece {}; ///< approximate
     std::size_t resultBytes = 0; ///< memory for results
+    Duration resultLifetime {};  ///< time after the call until a result that nobody frees is dropped
 };
 
 struct Service {
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -73,7 +73,7 @@
     return gone;
 }
 
-std::vector<Endpoint> Members::greetingList(MonotonicTime)
+std::vector<Endpoint> Members::greetingList()
 {
     std::vector<Endpoint> list;
     std::set<std::string> listed;
--- a/src/libs/gateway/members.h
+++ b/src/libs/gateway/members.h
@@ -33,7 +33,7 @@
     /** Members that have been silent too long. */
     std::vector<Member> expire(MonotonicTime now);
     /** Whom to greet in this round. */
-    std::vector<Endpoint> greetingList(MonotonicTime now);
+    std::vector<Endpoint> greetingList();
     std::vector<Member> alive() const;
     std::vector<Endpoint> known() const;
     /** The daemon that gathers the pieces of a service, or nothing when it is this one. */
--- a/src/libs/gateway/piece.h
+++ b/src/libs/gateway/piece.h
@@ -2,6 +2,7 @@
 
 #include "targetrecord.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -24,6 +25,7 @@
     MonotonicTime usefulUntil;   ///< results after this make the answer late
     MonotonicTime giveUpAt;      ///< results after this are of no use
     std::size_t resultBytes = 0; ///< approximate size of one result
+    std::optional<FailureDomain> preferredDomain; ///< where large results will be fetched
     std::string inputKey;        ///< for stages that follow no other
     std::vector<std::string> inputs; ///< handles of all results that the stage needs
     std::vector<int> pieces;
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -281,6 +281,9 @@
         order.usefulUntil = m_request.usefulUntil() - after;
         order.giveUpAt = m_request.endsAt() - after;
         order.resultBytes = m_plan.stage(stage).resultBytes;
+        if (order.resultBytes >= LARGE_INPUT_BYTES) {
+            order.preferredDomain = m_shared.targets.likelyDomain(need(), now);
+        }
         order.pieces = m_plan.pieces(stage);
         if (m_plan.stage(stage).after.empty()) {
             order.inputKey = m_request.inputKey;
@@ -327,6 +330,11 @@
 
 void RelayMachine::send(RelayActions &actions, MonotonicTime now)
 {
+    // Another target needs the results that the one before has fetched.
+    if (std::exchange(m_inputsFreed, false)) {
+        restartStages(actions, now);
+        return;
+    }
     if (m_tried.size() >= static_cast<std::size_t>(m_request.route->maxAttempts) && !m_tried.empty()) {
         const std::optional<TargetRecord> same = m_shared.targets.find(*m_tried.begin());
         if (!same || !m_shared.targets.start(same->id, m_request.prompt.promptTokens, now)) {
@@ -389,7 +397,9 @@
     need.service = m_request.service;
     need.avoid = m_avoid;
     need.tokens = m_request.prompt.promptTokens;
-    need.inputDomain = inputDomain();
+    if (m_plan.isComplete()) {
+        need.inputDomain = inputDomain();
+    }
     need.allowedRegions = m_request.route->allowedRegions;
     const std::vector<PromptPart> &parts = m_request.prompt.parts;
     if (parts.size() > 1) {
@@ -449,12 +459,10 @@
          "target=" + m_attempt->target.id.value() + " since_sent_ms=" + millisecondsText(now - m_attempt->sentAt)
              + " since_arrival_ms=" + millisecondsText(now - m_request.arrivedAt));
     actions.emplace_back(PassHead { *m_attempt->head });
-    // A resumable stream may need them again at another target.
-    if (!m_request.route->isRepeatable()) {
-        std::vector<StageResult> served = m_plan.takeAll();
-        if (!served.empty()) {
-            actions.emplace_back(FreeResults { std::move(served) });
-        }
+    std::vector<StageResult> served = m_plan.takeAll();
+    if (!served.empty()) {
+        m_inputsFreed = true;
+        actions.emplace_back(FreeResults { std::move(served) });
     }
 }
 
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -101,6 +101,7 @@
     RunState m_runState = RunState::NotRun;
     std::optional<Fallback> m_fallback;
     EventFramer m_framer;
+    bool m_inputsFreed = false;     ///< the results of the stages have served and are gone
     bool m_streamStarted = false;
     bool m_finished = false;
 };
--- /dev/null
+++ b/src/libs/gateway/shutdownpolicy.cpp
@@ -0,0 +1,17 @@
+#include "shutdownpolicy.h"
+
+namespace CassiaRelay::Gateway {
+
+namespace {
+
+constexpr std::chrono::milliseconds STREAM_TIME { 5000 }; // nearly all streams with their stages are shorter
+
+} // namespace
+
+bool mayTakeDuringShutdown(const Route &route, Duration elapsed, Duration total)
+{
+    const Duration needed = route.kind == RouteKind::Stream ? Duration(STREAM_TIME) : Duration(route.timeout);
+    return elapsed + needed <= total;
+}
+
+} // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/stageplan.cpp
+++ b/src/libs/gateway/stageplan.cpp
@@ -14,9 +14,11 @@
     }
 }
 
+// Results take memory until the last stage has run, so that a short branch starts only when the longest one has as few stages left.
 std::vector<std::size_t> StagePlan::takeReady()
 {
     std::vector<std::size_t> ready;
+    const std::size_t longest = levelsLeft();
     for (std::size_t index = 0; index < m_stages.size(); ++index) {
         State &state = m_stages[index];
         if (state.isStarted || state.results.empty()) {
@@ -24,7 +26,7 @@
         }
         const bool canStart = std::all_of(
             state.route.after.begin(), state.route.after.end(), [this](std::size_t before) { return isDone(m_stages.at(before)); });
-        if (canStart) {
+        if (canStart && levelsFrom(index) >= longest) {
             state.isStarted = true;
             ready.push_back(index);
         }
--- a/src/libs/gateway/stagepool.cpp
+++ b/src/libs/gateway/stagepool.cpp
@@ -9,6 +9,7 @@
 constexpr int MAX_ATTEMPTS = 3;                          // a piece may be made again; more would draw on the shared retry budget
 constexpr double OVERDUE_FACTOR = 3;                     // calls of other daemons may run before, and targets differ in speed
 constexpr std::chrono::milliseconds OVERDUE_SLACK { 500 }; // fetches of inputs and a slow start of the target
+constexpr int CALLS_TO_SPARE = 2;                        // a target of another domain is free again within about one call
 constexpr std::chrono::milliseconds FULL_REST { 60 };    // a fifth of a usual call: the target is full with calls of other daemons
 
 // What the time would have been for a piece alone, so that full and nearly empty calls compare.
@@ -22,13 +23,14 @@
 
 StagePool::StagePool(ServiceName service, PieceCapacity capacity)
     : m_service(std::move(service))
-    , m_capacity(capacity)
 {
+    adopt(capacity);
 }
 
 void StagePool::adopt(const PieceCapacity &capacity)
 {
     m_capacity = capacity;
+    m_room.setCapacity(capacity.resultBytes, capacity.resultLifetime);
 }
 
 void StagePool::submit(OrderId order, const PieceOrder &work)
@@ -38,6 +40,8 @@
         waiting.order = order;
         waiting.rank = work.rank;
         waiting.usefulUntil = work.usefulUntil;
+        waiting.resultBytes = work.resultBytes;
+        waiting.preferredDomain = work.preferredDomain;
         waiting.item = { { work.request, work.stage, piece }, work.inputKey, work.inputs, work.giveUpAt };
         m_waiting.push_back(std::move(waiting));
     }
@@ -49,9 +53,15 @@
                     m_waiting.end());
 }
 
+void StagePool::release(const StageResult &result)
+{
+    m_room.release(result);
+}
+
 std::vector<OrderProgress> StagePool::expire(MonotonicTime now)
 {
     std::vector<OrderProgress> ends;
+    m_room.expire(now);
     const Duration shortest = workTime(1);
     const auto hopeless = [now, shortest](const Waiting &piece) { return now + shortest > piece.item.giveUpAt; };
     for (const Waiting &piece : m_waiting) {
@@ -66,20 +76,25 @@
 std::vector<StageCall> StagePool::dispatch(TargetBook &targets, MonotonicTime now)
 {
     std::vector<StageCall> calls;
-    while (!m_waiting.empty()) {
-        const std::optional<TargetRecord> target = freeTarget(targets, now);
-        if (!target || !targets.start(target->id, 0, now)) {
-            break;
+    for (const TargetRecord &target : freeTargets(targets, now)) {
+        std::vector<Waiting> batch = takeBatch(target, now);
+        if (batch.empty()) {
+            continue;
+        }
+        if (!targets.start(target.id, 0, now)) {
+            std::move(batch.begin(), batch.end(), std::back_inserter(m_waiting));
+            continue;
         }
         Running running;
-        running.target = target->id;
+        running.target = target.id;
         running.startedAt = now;
-        running.pieces = takeBatch(now);
+        running.pieces = std::move(batch);
         running.expected = workTime(running.pieces.size());
         StageCall call;
         call.id = CallId(m_nextCall++);
-        call.target = *target;
+        call.target = target;
         for (const Waiting &piece : running.pieces) {
+            m_room.reserve(target.id, piece.resultBytes);
             call.items.push_back(piece.item);
         }
         call.overdueAt = now + std::chrono::duration_cast<Duration>(running.expected * OVERDUE_FACTOR) + OVERDUE_SLACK;
@@ -103,12 +118,21 @@
     for (std::size_t index = 0; index < running.pieces.size(); ++index) {
         Waiting &piece = running.pieces[index];
         if (index >= outcomes.size()) {
+            m_room.cancel(running.target, piece.resultBytes);
             retryOrEnd(std::move(piece), PieceFailure::Failed, ends, now);
             continue;
         }
         std::visit(Overloaded {
-                       [&](const StageResult &result) { ends.push_back({ piece.order, { piece.item.piece.number, result } }); },
+                       [&](const StageResult &result) {
+                           m_room.hold(result, piece.resultBytes, now);
+                           ends.push_back({ piece.order, { piece.item.piece.number, result } });
+                       },
                        [&](PieceFailure failure) {
+                           m_room.cancel(running.target, piece.resultBytes);
+                           if (failure == PieceFailure::NoRoom) {
+                               m_restUntil[running.target] = now + FULL_REST;
+                               --piece.attempts;
+                           }
                            if (failure == PieceFailure::Failed || failure == PieceFailure::NoRoom) {
                                retryOrEnd(std::move(piece), failure, ends, now);
                            } else {
@@ -135,6 +159,7 @@
         m_restUntil[running.target] = now + FULL_REST;
     }
     for (Waiting &piece : running.pieces) {
+        m_room.cancel(running.target, piece.resultBytes);
         // A target that was not reached or refused has not made the piece: that is no attempt.
         if (result == AttemptResult::Refused || result == AttemptResult::Unreachable) {
             --piece.attempts;
@@ -173,7 +198,8 @@
     return m_capacity.perCall + m_capacity.perPiece * static_cast<int>(pieces);
 }
 
-std::vector<StagePool::Waiting> StagePool::takeBatch(MonotonicTime now)
+// Punctual work before late work, then by rank and deadline.
+void StagePool::sortWaiting(MonotonicTime now)
 {
     const Duration shortest = workTime(1);
     const auto isLate = [now, shortest](const Waiting &piece) { return now + shortest > piece.usefulUntil; };
@@ -189,31 +215,59 @@
         return left.usefulUntil < right.usefulUntil;
     };
     std::stable_sort(m_waiting.begin(), m_waiting.end(), before);
-    const std::size_t size = std::min(m_waiting.size(), static_cast<std::size_t>(std::max(1, m_capacity.batch)));
-    const auto end = m_waiting.begin() + static_cast<std::ptrdiff_t>(size);
-    std::vector<Waiting> batch(std::make_move_iterator(m_waiting.begin()), std::make_move_iterator(end));
-    m_waiting.erase(m_waiting.begin(), end);
+}
+
+// Large results are fetched by a target of the preferred domain; elsewhere they cross domains.
+bool StagePool::isWorthWaitingFor(const Waiting &piece, const FailureDomain &domain, MonotonicTime now) const
+{
+    if (!piece.preferredDomain || *piece.preferredDomain == domain) {
+        return false;
+    }
+    const auto batch = static_cast<std::size_t>(std::max(1, m_capacity.batch));
+    const bool isCrowded = m_waiting.size() > batch;
+    return !isCrowded && now + workTime(batch) * CALLS_TO_SPARE < piece.usefulUntil;
+}
+
+std::vector<StagePool::Waiting> StagePool::takeBatch(const TargetRecord &target, MonotonicTime now)
+{
+    sortWaiting(now);
+    const auto size = static_cast<std::size_t>(std::max(1, m_capacity.batch));
+    std::size_t room = m_room.freeBytes(target.id);
+    std::vector<Waiting> batch;
+    std::vector<Waiting> left;
+    for (Waiting &piece : m_waiting) {
+        if (batch.size() >= size || piece.resultBytes > room || isWorthWaitingFor(piece, target.failureDomain, now)) {
+            left.push_back(std::move(piece));
+            continue;
+        }
+        room -= m_room.isLimited() ? piece.resultBytes : 0;
+        batch.push_back(std::move(piece));
+    }
+    m_waiting = std::move(left);
     return batch;
 }
 
-// The fastest target that has no call of this pool and has not just said that it is full.
-std::optional<TargetRecord> StagePool::freeTarget(const TargetBook &targets, MonotonicTime now) const
+// Targets that have no call of this pool and have not just said that they are full, the fastest first.
+std::vector<TargetRecord> StagePool::freeTargets(const TargetBook &targets, MonotonicTime now) const
 {
-    std::optional<TargetRecord> free;
-    for (const TargetRecord &target : targets.usable(m_service, now)) {
+    std::vector<TargetRecord> free;
+    if (m_waiting.empty()) {
+        return free;
+    }
+    for (TargetRecord &target : targets.usable(m_service, now)) {
         const auto rest = m_restUntil.find(target.id);
         if (rest != m_restUntil.end() && rest->second > now) {
             continue;
         }
         const auto calls = std::count_if(
             m_running.begin(), m_running.end(), [&target](const auto &running) { return running.second.target == target.id; });
-        if (calls >= std::max(1, m_capacity.slots)) {
-            continue;
-        }
-        if (!free || targets.latency(target.id) < targets.latency(free->id)) {
-            free = target;
+        if (calls < std::max(1, m_capacity.slots)) {
+            free.push_back(std::move(target));
         }
     }
+    std::stable_sort(free.begin(), free.end(), [&targets](const TargetRecord &left, const TargetRecord &right) {
+        return targets.latency(left.id) < targets.latency(right.id);
+    });
     return free;
 }
 
--- a/src/libs/gateway/stagepool.h
+++ b/src/libs/gateway/stagepool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "piece.h"
+#include "resultroom.h"
 #include "targetbook.h"
 
 #include <cstdint>
@@ -48,6 +49,8 @@
     void submit(OrderId order, const PieceOrder &work);
     /** Forgets what waits of an order; what runs goes on. */
     void withdraw(OrderId order);
+    /** Nobody needs the result any more. */
+    void release(const StageResult &result);
     /** Ends pieces that can't be made in time. */
     std::vector<OrderProgress> expire(MonotonicTime now);
     /** Calls to make now. */
@@ -67,6 +70,8 @@
         MonotonicTime usefulUntil;
         CallItem item;
         int attempts = 0;
+        std::size_t resultBytes = 0;
+        std::optional<FailureDomain> preferredDomain;
     };
     struct Running {
         TargetId target;
@@ -76,14 +81,17 @@
     };
 
     Duration workTime(std::size_t pieces) const;
-    std::vector<Waiting> takeBatch(MonotonicTime now);
-    std::optional<TargetRecord> freeTarget(const TargetBook &targets, MonotonicTime now) const;
+    std::vector<Waiting> takeBatch(const TargetRecord &target, MonotonicTime now);
+    void sortWaiting(MonotonicTime now);
+    bool isWorthWaitingFor(const Waiting &piece, const FailureDomain &domain, MonotonicTime now) const;
+    std::vector<TargetRecord> freeTargets(const TargetBook &targets, MonotonicTime now) const;
     void retryOrEnd(Waiting piece, PieceFailure failure, std::vector<OrderProgress> &ends, MonotonicTime now);
 
     ServiceName m_service;
     PieceCapacity m_capacity;
     std::vector<Waiting> m_waiting;
     std::map<CallId, Running> m_running;
+    ResultRoom m_room;
     std::unordered_map<TargetId, MonotonicTime> m_restUntil; ///< of targets that said they were full
     std::uint64_t m_nextCall = 1;
 };
--- a/src/libs/gateway/targetbook.cpp
+++ b/src/libs/gateway/targetbook.cpp
@@ -99,6 +99,15 @@
     return choice;
 }
 
+std::optional<FailureDomain> TargetBook::likelyDomain(const TargetNeed &need, MonotonicTime now)
+{
+    const std::vector<Target *> possible = candidates(need, now);
+    if (possible.empty()) {
+        return std::nullopt;
+    }
+    return best(possible, need, now).record.failureDomain;
+}
+
 bool TargetBook::start(const TargetId &id, std::int64_t tokens, MonotonicTime now)
 {
     const auto found = m_targets.find(id);
@@ -313,11 +322,9 @@
         return *cheapest->target;
     }
     const double bound = cheapest->cost * CACHE_LOAD_FACTOR + CACHE_LOAD_SLACK;
-    const bool cheapestIsNear = need.inputDomain && cheapest->target->record.failureDomain == *need.inputDomain;
     const Rated *chosen = &*cheapest;
     for (const Rated &candidate : rated) {
-        const bool isFar = cheapestIsNear && candidate.target->record.failureDomain != *need.inputDomain;
-        if (isFar || candidate.cost > bound || candidate.rank <= chosen->rank) {
+        if (candidate.cost > bound || candidate.rank <= chosen->rank) {
             continue;
         }
         chosen = &candidate;
--- a/src/libs/gateway/targetbook.h
+++ b/src/libs/gateway/targetbook.h
@@ -65,6 +65,8 @@
 
     /** Picks a target and counts the attempt as running there; finished() ends that. */
     TargetChoice choose(const TargetNeed &need, MonotonicTime now);
+    /** Where a request would be placed now. */
+    std::optional<FailureDomain> likelyDomain(const TargetNeed &need, MonotonicTime now);
     /** Counts an attempt at a target that was picked otherwise. False when the target must not be used now. */
     bool start(const TargetId &id, std::int64_t tokens, MonotonicTime now);
     /** The target has read the prompt. */
