--- a/src/app/gateway/eventlog.cpp
+++ b/src/app/gateway/eventlog.cpp
@@ -8,9 +8,8 @@
 
 namespace {
 
-constexpr std::size_t QUEUE_LINES = 1024;                   // some seconds of lines at the usual rate, under 1 MB
-constexpr int MAX_LINES_PER_SECOND = 100;                   // of one kind of event; about 20 KB/s
-constexpr std::chrono::milliseconds FLUSH_INTERVAL { 250 }; // what a killed process may lose
+constexpr std::size_t QUEUE_LINES = 1024; // some seconds of lines at the usual rate, under 1 MB
+constexpr int MAX_LINES_PER_SECOND = 100; // of one kind of event; about 20 KB/s
 
 } // namespace
 
@@ -18,10 +17,8 @@
     : m_isDebug(level == Schema::LogLevel::Debug)
 {
     spdlog::init_thread_pool(QUEUE_LINES, 1);
-    m_logger = std::make_shared<spdlog::async_logger>("events",
-                                                      std::make_shared<spdlog::sinks::stdout_sink_mt>(),
-                                                      spdlog::thread_pool(),
-                                                      spdlog::async_overflow_policy::overrun_oldest);
+    m_logger = std::make_shared<spdlog::async_logger>(
+        "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(), spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     m_logger->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %v", spdlog::pattern_time_type::utc);
     const bool isQuiet = level == Schema::LogLevel::Warning || level == Schema::LogLevel::Error;
     m_logger->set_level(isQuiet ? spdlog::level::warn : spdlog::level::info);
--- a/src/app/gateway/frontdoor.cpp
+++ b/src/app/gateway/frontdoor.cpp
@@ -12,9 +12,9 @@
 constexpr unsigned STATUS_UNAUTHORIZED = 401;
 constexpr unsigned STATUS_NOT_FOUND = 404;
 constexpr unsigned STATUS_UNAVAILABLE = 503;
-constexpr std::chrono::milliseconds RETRY_AFTER_START { 500 };   // a daemon that has started has its configuration within this
-constexpr std::chrono::milliseconds RETRY_ELSEWHERE { 50 };      // a new connection reaches another daemon
-constexpr std::chrono::milliseconds DEFAULT_PATIENCE { 30000 };  // of callers that do not say how long they wait
+constexpr std::chrono::milliseconds RETRY_AFTER_START { 500 };  // a daemon that has started has its configuration within this
+constexpr std::chrono::milliseconds RETRY_ELSEWHERE { 50 };     // a new connection reaches another daemon
+constexpr std::chrono::milliseconds DEFAULT_PATIENCE { 30000 }; // of callers that do not say how long they wait
 
 std::string pathOf(const std::string &target)
 {
@@ -56,7 +56,8 @@
     }
     const Gateway::Organisation *organisation = head.key ? table->organisation(*head.key) : nullptr;
     if (!organisation && !route->isPublic && table->needsKeys()) {
-        refuse(exchange, head, { STATUS_UNAUTHORIZED, std::nullopt, "the key is unknown; send a key of your organisation as bearer token" });
+        refuse(
+            exchange, head, { STATUS_UNAUTHORIZED, std::nullopt, "the key is unknown; send a key of your organisation as bearer token" });
         return;
     }
     const std::optional<Shutdown> &shutdown = m_services.shutdown;
@@ -84,13 +85,14 @@
 void FrontDoor::refuse(const Net::HttpExchangePointer &exchange, const Gateway::CallerHead &head, Gateway::RefuseRequest refusal)
 {
     m_services.metrics.counter("cassiarelay_requests_refused_at_entry_total", { { "status", std::to_string(refusal.status) } }).add();
-    m_services.log.write("refused at entry",
-                         { { "request", head.id.value() },
-                           { "status", std::to_string(refusal.status) },
-                           { "host", head.host },
-                           { "configuration", m_services.catalogue.table() ? std::to_string(m_services.catalogue.table()->version()) : "none" },
-                           { "reason", refusal.reason } },
-                         std::chrono::steady_clock::now());
+    m_services.log.write(
+        "refused at entry",
+        { { "request", head.id.value() },
+          { "status", std::to_string(refusal.status) },
+          { "host", head.host },
+          { "configuration", m_services.catalogue.table() ? std::to_string(m_services.catalogue.table()->version()) : "none" },
+          { "reason", refusal.reason } },
+        std::chrono::steady_clock::now());
     exchange->respond(refusalResponse(refusal, head.id));
 }
 
--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -1,5 +1,7 @@
 #include "gatewaydaemon.h"
 
+#include "relaysession.h"
+
 #include <csignal>
 
 namespace CassiaRelay::GatewayDaemon {
@@ -10,11 +12,12 @@
 constexpr unsigned STATUS_UNAVAILABLE = 503;
 constexpr std::chrono::milliseconds IDLE_CHECK { 20 };
 constexpr std::chrono::milliseconds HOUSE_INTERVAL { 1000 };
-constexpr std::chrono::milliseconds LEAST_SHUTDOWN { 2500 };     // the balancer asks once a second and needs two misses
-constexpr std::chrono::milliseconds SHUTDOWN_RESERVE { 400 };    // for the last bytes before SIGKILL
-constexpr std::chrono::milliseconds TARGET_SILENCE { 2000 };     // links are milliseconds long; a lost packet is sent again within a second
+constexpr std::chrono::milliseconds LEAST_SHUTDOWN { 2500 };  // the balancer asks once a second and needs two misses
+constexpr std::chrono::milliseconds SHUTDOWN_RESERVE { 400 }; // for the last bytes before SIGKILL
+constexpr std::chrono::milliseconds ANSWER_RESERVE { 900 };   // for the answers to what could not be finished
+constexpr std::chrono::milliseconds TARGET_SILENCE { 2000 };  // links are milliseconds long; a lost packet is sent again within a second
 constexpr std::chrono::milliseconds TARGET_IDLE { 10000 };
-constexpr std::size_t IDLE_PER_TARGET = 4;                       // all daemons share the connections that a target accepts
+constexpr std::size_t IDLE_PER_TARGET = 4; // all daemons share the connections that a target accepts
 constexpr std::size_t IDLE_PER_PEER = 16;
 
 Net::HttpClientLimits clientLimits(std::size_t idlePerServer)
@@ -68,7 +71,7 @@
     , m_peerClient(m_context, clientLimits(IDLE_PER_PEER))
     , m_targets({ settings.coldFactor, settings.coldSlack }, toRegions(settings), stableHash(settings.vm.value()))
     , m_retries({ settings.retryRatio, settings.retryExtra, settings.retryWindow })
-    , m_relay { m_targets, m_retries, m_crashes, settings.maxVms }
+    , m_relay { m_targets, m_retries, m_crashes, m_stageTimes, settings.maxVms }
     , m_members(settings.vm, settings.peers.value_or(settings.callers))
     , m_pieces(m_context, m_targetClient, m_peerClient, port, m_targets, m_members, m_metrics, m_log)
     , m_services { m_context, m_targetClient, port, m_catalogue, m_relay, m_pieces, m_metrics, m_log }
@@ -91,11 +94,10 @@
                 (this->*handler)(exchange);
             });
     };
-    m_callerServer = std::make_unique<Net::HttpServer>(m_context,
-                                                       settings.callers.address,
-                                                       settings.callers.port,
-                                                       Net::HttpLimits {},
-                                                       [this](const Net::HttpExchangePointer &exchange) { m_frontDoor.handle(exchange); });
+    m_callerServer = std::make_unique<Net::HttpServer>(
+        m_context, settings.callers.address, settings.callers.port, Net::HttpLimits {}, [this](const Net::HttpExchangePointer &exchange) {
+            m_frontDoor.handle(exchange);
+        });
     m_readinessServer = serve(settings.readiness, &GatewayDaemon::handleReadiness);
     m_metricsServer = serve(settings.metrics, &GatewayDaemon::handleMetrics);
     if (settings.peers) {
@@ -188,7 +190,9 @@
 void GatewayDaemon::adopt(const Gateway::DomainChanged &change)
 {
     m_log.write("domain changed",
-                { { "domain", change.domain.value() }, { "out", change.isOut ? "yes" : "no" }, { "revision", std::to_string(m_catalogue.revision()) } },
+                { { "domain", change.domain.value() },
+                  { "out", change.isOut ? "yes" : "no" },
+                  { "revision", std::to_string(m_catalogue.revision()) } },
                 std::chrono::steady_clock::now());
     m_targets.setDomainOut(change.domain, change.isOut);
 }
@@ -242,7 +246,7 @@
 
 void GatewayDaemon::handleMetrics(const Net::HttpExchangePointer &exchange)
 {
-    m_metrics.gauge("cassiarelay_requests_active").set(static_cast<std::int64_t>(m_services.activeRequests));
+    m_metrics.gauge("cassiarelay_requests_active").set(static_cast<std::int64_t>(m_services.sessions.size()));
     m_metrics.gauge("cassiarelay_peers").set(m_members.count() - 1);
     m_metrics.gauge("cassiarelay_targets").set(static_cast<std::int64_t>(m_targets.size()));
     m_metrics.gauge("cassiarelay_store_calls").set(static_cast<std::int64_t>(m_watcher.calls()));
@@ -293,8 +297,8 @@
 {
     m_isDraining = true;
     m_shutdownBegan = std::chrono::steady_clock::now();
-    m_services.shutdown = Shutdown { m_shutdownBegan, m_settings.shutdownTime - SHUTDOWN_RESERVE };
-    m_log.write("stopping", { { "active", std::to_string(m_services.activeRequests) } }, m_shutdownBegan);
+    m_services.shutdown = Shutdown { m_shutdownBegan, m_settings.shutdownTime - ANSWER_RESERVE };
+    m_log.write("stopping", { { "active", std::to_string(m_services.sessions.size()) } }, m_shutdownBegan);
     if (m_peers) {
         m_peers->leave();
     }
@@ -305,11 +309,14 @@
 void GatewayDaemon::finishShutdownWhenIdle()
 {
     const Duration elapsed = std::chrono::steady_clock::now() - m_shutdownBegan;
-    const bool isIdle = m_services.activeRequests == 0 && m_callerServer->connections() == 0;
+    const bool isIdle = m_services.sessions.empty() && m_callerServer->connections() == 0;
     if ((isIdle && elapsed >= LEAST_SHUTDOWN) || elapsed >= m_settings.shutdownTime - SHUTDOWN_RESERVE) {
         stopNow();
         return;
     }
+    if (elapsed >= m_settings.shutdownTime - ANSWER_RESERVE) {
+        answerWhatIsLeft();
+    }
     m_shutdownTimer.expires_after(IDLE_CHECK);
     m_shutdownTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -318,6 +325,16 @@
     });
 }
 
+void GatewayDaemon::answerWhatIsLeft()
+{
+    const std::set<RelaySession *> sessions = m_services.sessions;
+    for (RelaySession *session : sessions) {
+        if (m_services.sessions.count(session) > 0) {
+            session->shutDown();
+        }
+    }
+}
+
 void GatewayDaemon::stopNow()
 {
     m_watcher.stop();
@@ -334,6 +351,7 @@
     onCatalogueChanges(m_catalogue.expire(now));
     m_targetClient.closeExpired();
     m_peerClient.closeExpired();
+    m_pieces.logBacklog();
     m_log.flush(now);
     m_houseTimer.expires_after(HOUSE_INTERVAL);
     m_houseTimer.async_wait([this](const boost::system::error_code &error) {
--- a/src/app/gateway/gatewaydaemon.h
+++ b/src/app/gateway/gatewaydaemon.h
@@ -43,6 +43,7 @@
     void reload();
     void beginShutdown();
     void finishShutdownWhenIdle();
+    void answerWhatIsLeft();
     void stopNow();
     void housekeep();
 
@@ -59,6 +60,7 @@
     Gateway::TargetBook m_targets;
     Gateway::RetryBudget m_retries;
     Gateway::CrashRegister m_crashes;
+    Gateway::StageTimes m_stageTimes;
     Gateway::RelayShared m_relay;
     Gateway::Members m_members;
     PieceBroker m_pieces;
--- a/src/app/gateway/gatewayservices.h
+++ b/src/app/gateway/gatewayservices.h
@@ -7,8 +7,12 @@
 #include <metrics/metrics.h>
 #include <net/net.h>
 
+#include <set>
+
 namespace CassiaRelay::GatewayDaemon {
 
+class RelaySession;
+
 /** A graceful shutdown under way. */
 struct Shutdown {
     MonotonicTime began;
@@ -25,7 +29,7 @@
     PieceBroker &pieces;
     Metrics::Registry &metrics;
     EventLog &log;
-    std::size_t activeRequests = 0;
+    std::set<RelaySession *> sessions = {}; ///< requests without a final answer
     std::optional<Shutdown> shutdown = std::nullopt;
 };
 
--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -11,12 +11,12 @@
 constexpr unsigned STATUS_OK = 200;
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_MISDIRECTED = 421;
-constexpr std::chrono::milliseconds WAKE_INTERVAL { 25 };   // a tenth of a usual call
-constexpr std::chrono::milliseconds FREE_INTERVAL { 30 };   // gathers what several requests free at one target
-constexpr std::chrono::milliseconds AVOID_TIME { 1000 };    // time in which a daemon that is gone is noticed
+constexpr std::chrono::milliseconds WAKE_INTERVAL { 25 }; // a tenth of a usual call
+constexpr std::chrono::milliseconds FREE_INTERVAL { 30 }; // gathers what several requests free at one target
+constexpr std::chrono::milliseconds AVOID_TIME { 1000 };  // time in which a daemon that is gone is noticed
 constexpr std::chrono::milliseconds CONNECT_PATIENCE { 300 };
 constexpr std::chrono::milliseconds FREE_PATIENCE { 1000 };
-constexpr std::chrono::milliseconds ANSWER_TIME { 100 };    // for the way back from the owner
+constexpr std::chrono::milliseconds ANSWER_TIME { 100 }; // for the way back from the owner
 
 std::int64_t millisecondsUntil(MonotonicTime time, MonotonicTime now)
 {
@@ -207,8 +207,7 @@
                          Gateway::Members &members,
                          Metrics::Registry &metrics,
                          EventLog &log)
-    : m_context(context)
-    , m_targetClient(targetClient)
+    : m_targetClient(targetClient)
     , m_peerClient(peerClient)
     , m_port(port)
     , m_targets(targets)
@@ -369,6 +368,23 @@
     }
 }
 
+void PieceBroker::logBacklog()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    for (const auto &[service, stagePool] : m_pools) {
+        if (stagePool.waiting() == 0) {
+            continue;
+        }
+        m_log.write("stage backlog",
+                    { { "service", service.value() },
+                      { "waiting", std::to_string(stagePool.waiting()) },
+                      { "calls", std::to_string(stagePool.running()) },
+                      { "targets", std::to_string(m_targets.usable(service, now).size()) },
+                      { "free_bytes", std::to_string(stagePool.freeBytes(m_targets, now)) } },
+                    now);
+    }
+}
+
 void PieceBroker::stop()
 {
     m_wakeTimer.cancel();
@@ -394,8 +410,13 @@
     Order &order = m_orders.at(id);
     order.owner.reset();
     order.call.reset();
-    pool(order.work.service).submit(id, order.work);
-    pump(order.work.service);
+    const Gateway::ServiceName service = order.work.service;
+    if (!pool(service).submit(id, order.work, m_targets, std::chrono::steady_clock::now())) {
+        order.ends.push_back({ order.work.pieces.empty() ? 0 : order.work.pieces.front(), Gateway::PieceFailure::Late });
+        finish(id);
+        return;
+    }
+    pump(service);
 }
 
 void PieceBroker::placeAt(const Gateway::Member &owner, Gateway::OrderId id)
@@ -465,7 +486,7 @@
     for (Gateway::StageCall &call : stagePool.dispatch(m_targets, now)) {
         send(service, std::move(call));
     }
-    report(stagePool.expire(now));
+    report(stagePool.expire(m_targets, now));
     if (stagePool.waiting() > 0) {
         wakeLater();
     }
@@ -488,7 +509,9 @@
     reply->call = std::move(call);
     reply->sentAt = now;
     Net::HttpCallHandlers handlers;
-    handlers.onHead = [this, reply](const Net::HttpCallHead &head) { reply->answer = m_port.readAnswer(head.status, toFieldList(head.fields)); };
+    handlers.onHead = [this, reply](const Net::HttpCallHead &head) {
+        reply->answer = m_port.readAnswer(head.status, toFieldList(head.fields));
+    };
     handlers.onBody = [reply](const std::string &part) { reply->body += part; };
     handlers.onFinished = [this, reply, service] {
         m_callTime.record(std::chrono::steady_clock::now() - reply->sentAt);
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -46,6 +46,8 @@
     void onMembersChanged();
     /** The targets have changed: what waits may start. */
     void pumpAll();
+    /** Logs what waits. Call about once a second. */
+    void logBacklog();
     void stop();
 
     /** Results that another daemon needs no more. */
@@ -85,11 +87,12 @@
     void wakeLater();
     void freeLater();
     void sendFrees();
-    void sendFreesToOwner(const Gateway::Member &owner, const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results);
+    void sendFreesToOwner(const Gateway::Member &owner,
+                          const Gateway::ServiceName &service,
+                          const std::vector<Gateway::StageResult> &results);
     void sendFreesToTargets();
     void releaseHere(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results);
 
-    boost::asio::io_context &m_context;
     Net::HttpClient &m_targetClient;
     Net::HttpClient &m_peerClient;
     const Gateway::PlatformPort &m_port;
@@ -104,9 +107,9 @@
     std::map<Gateway::ServiceName, Gateway::StagePool> m_pools;
     std::unordered_map<Gateway::ServiceName, Gateway::PieceCapacity> m_capacities;
     std::map<Gateway::OrderId, Order> m_orders;
-    std::map<VmId, MonotonicTime> m_avoidUntil; ///< owners that failed an order
+    std::map<VmId, MonotonicTime> m_avoidUntil;                                ///< owners that failed an order
     std::map<Gateway::ServiceName, std::vector<Gateway::StageResult>> m_frees; ///< not told to the daemon that gathers the service
-    std::map<TargetId, std::vector<std::string>> m_targetFrees;               ///< not told to the target
+    std::map<TargetId, std::vector<std::string>> m_targetFrees;                ///< not told to the target
     boost::asio::steady_timer m_wakeTimer;
     boost::asio::steady_timer m_freeTimer;
     bool m_isWaking = false;
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -63,12 +63,12 @@
     , m_machine(std::move(request), services.relay)
     , m_timer(services.context)
 {
-    ++m_services.activeRequests;
+    m_services.sessions.insert(this);
 }
 
 RelaySession::~RelaySession()
 {
-    --m_services.activeRequests;
+    m_services.sessions.erase(this);
 }
 
 void RelaySession::start()
@@ -87,6 +87,11 @@
     perform(m_machine.start(std::chrono::steady_clock::now()));
 }
 
+void RelaySession::shutDown()
+{
+    perform(m_machine.onShutdown(std::chrono::steady_clock::now()));
+}
+
 void RelaySession::perform(const Gateway::RelayActions &actions)
 {
     const auto self = shared_from_this();
@@ -140,7 +145,9 @@
     const Gateway::AttemptNumber attempt = action.attempt;
     const auto self = shared_from_this();
     Net::HttpCallHandlers handlers;
-    handlers.onHead = [self, attempt, target = action.target.id](const Net::HttpCallHead &head) { self->onTargetHead(attempt, target, head); };
+    handlers.onHead = [self, attempt, target = action.target.id](const Net::HttpCallHead &head) {
+        self->onTargetHead(attempt, target, head);
+    };
     handlers.onBody = [self, attempt](const std::string &part) {
         self->perform(self->m_machine.onBody(attempt, part, std::chrono::steady_clock::now()));
     };
@@ -270,13 +277,11 @@
     const bool isGood = (outcome == "answered" || outcome == "streamed") && status < 500;
     const Metrics::Labels labels { { "route", request.route->name.value() }, { "outcome", std::string(outcome) } };
     m_services.metrics.counter("cassiarelay_requests_total", labels).add();
-    m_services.metrics.histogram("cassiarelay_request_seconds", { { "route", request.route->name.value() } }).record(now - request.arrivedAt);
-    LogFields fields { { "request", request.id.value() },
-                       { "outcome", std::string(outcome) },
-                       { "status", std::to_string(status) },
-                       { "ms", millisecondsSince(request.arrivedAt) },
-                       { "route", request.route->name.value() },
-                       { "configuration", std::to_string(request.table->version()) } };
+    m_services.metrics.histogram("cassiarelay_request_seconds", { { "route", request.route->name.value() } })
+        .record(now - request.arrivedAt);
+    LogFields fields { { "request", request.id.value() },        { "outcome", std::string(outcome) },
+                       { "status", std::to_string(status) },     { "ms", millisecondsSince(request.arrivedAt) },
+                       { "route", request.route->name.value() }, { "configuration", std::to_string(request.table->version()) } };
     if (!reason.empty()) {
         fields.push_back({ "reason", reason });
     }
@@ -296,7 +301,8 @@
         return;
     }
     const Gateway::RelayRequest &request = m_machine.request();
-    m_story.push_back(formatLine(decision, { { "request", request.id.value() }, { "at_ms", millisecondsSince(request.arrivedAt) } }) + " " + inputs);
+    m_story.push_back(formatLine(decision, { { "request", request.id.value() }, { "at_ms", millisecondsSince(request.arrivedAt) } }) + " "
+                      + inputs);
 }
 
 } // namespace CassiaRelay::GatewayDaemon
--- a/src/app/gateway/relaysession.h
+++ b/src/app/gateway/relaysession.h
@@ -14,12 +14,17 @@
 class RelaySession : public std::enable_shared_from_this<RelaySession>
 {
 public:
-    RelaySession(GatewayServices &services, Net::HttpExchangePointer exchange, std::vector<HttpField> callerFields, Gateway::RelayRequest request);
+    RelaySession(GatewayServices &services,
+                 Net::HttpExchangePointer exchange,
+                 std::vector<HttpField> callerFields,
+                 Gateway::RelayRequest request);
     ~RelaySession();
     RelaySession(const RelaySession &) = delete;
     RelaySession &operator=(const RelaySession &) = delete;
 
     void start();
+    /** Gives the request its last answer because the process ends. */
+    void shutDown();
 
 private:
     void perform(const Gateway::RelayActions &actions);
--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -5,12 +5,12 @@
 namespace {
 
 constexpr unsigned STATUS_OK = 200;
-constexpr std::chrono::milliseconds WATCH_INTERVAL { 800 };   // a change is known within this and a call; 2 s are allowed
-constexpr std::chrono::milliseconds WATCH_TIME { 1000 };      // a silent connection is noticed this soon, and PATIENCE later
-constexpr std::chrono::milliseconds PATIENCE { 700 };         // answers take milliseconds, and some hundred while the store is slow
+constexpr std::chrono::milliseconds WATCH_INTERVAL { 800 }; // a change is known within this and a call; 2 s are allowed
+constexpr std::chrono::milliseconds WATCH_TIME { 1000 };    // a silent connection is noticed this soon, and PATIENCE later
+constexpr std::chrono::milliseconds PATIENCE { 700 };       // answers take milliseconds, and some hundred while the store is slow
 constexpr std::chrono::milliseconds LIST_PATIENCE { 2000 };
 constexpr std::chrono::milliseconds FIRST_RETRY { 200 };
-constexpr std::chrono::milliseconds LONGEST_RETRY { 1000 };   // each refused call is priced, and return must be seen within seconds
+constexpr std::chrono::milliseconds LONGEST_RETRY { 1000 }; // each refused call is priced, and return must be seen within seconds
 constexpr int MAX_DOUBLINGS = 3;
 
 } // namespace
--- a/src/libs/gateway/catalogue.cpp
+++ b/src/libs/gateway/catalogue.cpp
@@ -124,7 +124,9 @@
                    },
                    [&](const TargetPublished &published) { adoptTarget(published.record, changes); },
                    [&](const TargetRemoved &removed) { dropTarget(removed.id, changes, now); },
-                   [&](const EntryUnreadable &unreadable) { changes.emplace_back(EntryRejected { unreadable.key, unreadable.reason }); },
+                   [&](const EntryUnreadable &unreadable) {
+                       changes.emplace_back(EntryRejected { unreadable.key, unreadable.reason });
+                   },
                },
                entry);
 }
--- a/src/libs/gateway/configuration.h
+++ b/src/libs/gateway/configuration.h
@@ -66,11 +66,11 @@
 
 /** How one target of a stage service works. */
 struct PieceCapacity {
-    int slots = 1;     ///< calls that run at the same time
-    int queue = 0;     ///< calls that wait
-    int batch = 1;     ///< pieces of one call
+    int slots = 1; ///< calls that run at the same time
+    int queue = 0; ///< calls that wait
+    int batch = 1; ///< pieces of one call
     Duration perCall {};
-    Duration perPiece {}; ///< approximate
+    Duration perPiece {};        ///< approximate
     std::size_t resultBytes = 0; ///< memory for results
     Duration resultLifetime {};  ///< time after the call until a result that nobody frees is dropped
 };
--- a/src/libs/gateway/crashregister.cpp
+++ b/src/libs/gateway/crashregister.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-constexpr int MAX_CRASHES = 2;                // a request that lost this many targets in a row is the likely cause
-constexpr std::chrono::seconds MEMORY { 60 }; // callers send such a request again within their deadline, up to 15 s
+constexpr int MAX_CRASHES = 2;                             // a request that lost this many targets in a row is the likely cause
+constexpr std::chrono::seconds MEMORY { 60 };              // callers send such a request again within their deadline, up to 15 s
 constexpr std::chrono::milliseconds CONFIRMATION { 1500 }; // a crashed target refuses connections at once
 constexpr std::size_t MAX_ABOARD = 512;
-constexpr std::size_t MAX_ENTRIES = 4096;     // a crash of one engine has at most its slots aboard
+constexpr std::size_t MAX_ENTRIES = 4096; // a crash of one engine has at most its slots aboard
 
 } // namespace
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "shutdownpolicy.h"
 #include "stageplan.h"
 #include "stagepool.h"
+#include "stagetimes.h"
 #include "storeentry.h"
 #include "targetbook.h"
 #include "targetrecord.h"
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds SILENCE_LIMIT { 1000 };  // three greetings missed
-constexpr std::chrono::seconds CANDIDATE_LIFETIME { 10 };    // a restarted machine is back within seconds
+constexpr std::chrono::milliseconds SILENCE_LIMIT { 1000 }; // three greetings missed
+constexpr std::chrono::seconds CANDIDATE_LIFETIME { 10 };   // a restarted machine is back within seconds
 
 } // namespace
 
--- a/src/libs/gateway/piece.h
+++ b/src/libs/gateway/piece.h
@@ -21,13 +21,13 @@
     RequestId request;
     ServiceName service;
     std::size_t stage = 0;
-    int rank = 0;                ///< urgency, 0 first
-    MonotonicTime usefulUntil;   ///< results after this make the answer late
-    MonotonicTime giveUpAt;      ///< results after this are of no use
-    std::size_t resultBytes = 0; ///< approximate size of one result
+    int rank = 0;                                 ///< urgency, 0 first
+    MonotonicTime usefulUntil;                    ///< results after this make the answer late
+    MonotonicTime giveUpAt;                       ///< results after this are of no use
+    std::size_t resultBytes = 0;                  ///< approximate size of one result
     std::optional<FailureDomain> preferredDomain; ///< where large results will be fetched
-    std::string inputKey;        ///< for stages that follow no other
-    std::vector<std::string> inputs; ///< handles of all results that the stage needs
+    std::string inputKey;                         ///< for stages that follow no other
+    std::vector<std::string> inputs;              ///< handles of all results that the stage needs
     std::vector<int> pieces;
 };
 
--- a/src/libs/gateway/refusal.cpp
+++ b/src/libs/gateway/refusal.cpp
@@ -10,7 +10,7 @@
 
 } // namespace
 
-RefuseRequest refusalFor(GiveUpCause cause, RunState state, Duration retryAfter, std::string detail)
+RefuseRequest refusalFor(GiveUpCause cause, RunState state, Duration retryAfter, const std::string &detail)
 {
     RefuseRequest refusal;
     refusal.reason = std::string(toString(cause)) + (detail.empty() ? "" : ": " + detail);
@@ -45,6 +45,10 @@
         return "what the target sent is no whole answer to this request";
     case GiveUpCause::Banned:
         return "the request has crashed targets";
+    case GiveUpCause::Crowded:
+        return "the stages are crowded";
+    case GiveUpCause::ShuttingDown:
+        return "this daemon is shutting down";
     }
     return "";
 }
--- a/src/libs/gateway/refusal.h
+++ b/src/libs/gateway/refusal.h
@@ -10,11 +10,13 @@
     TargetRefused,
     TargetUnreachable,
     StagesFailed,
-    Hopeless,  ///< what is left of the time does not suffice
+    Hopeless, ///< what is left of the time does not suffice
     TimedOut,
-    Broken,    ///< the target was lost while it may have run the request
+    Broken,      ///< the target was lost while it may have run the request
     NotAnAnswer, ///< what the target sent is no answer to this request
-    Banned,    ///< the request crashes targets
+    Banned,      ///< the request crashes targets
+    ShuttingDown,
+    Crowded, ///< the stages would take far longer than the objective
 };
 
 /** What is known of the attempts of a request. */
@@ -28,7 +30,7 @@
  *
  * @param retryAfter when callers should come back; only used when the request has not run
  */
-RefuseRequest refusalFor(GiveUpCause cause, RunState state, Duration retryAfter, std::string detail);
+RefuseRequest refusalFor(GiveUpCause cause, RunState state, Duration retryAfter, const std::string &detail);
 
 std::string_view toString(GiveUpCause cause);
 
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -12,8 +12,8 @@
 /** Head of what a target answered. */
 struct AnswerHead {
     unsigned status = 0;
-    bool isStamped = false;   ///< bears the mark without which an answer can't be passed on as a success
-    bool isNotRun = false;    ///< the target states that it did not run the request
+    bool isStamped = false;        ///< bears the mark without which an answer can't be passed on as a success
+    bool isNotRun = false;         ///< the target states that it did not run the request
     std::vector<HttpField> fields; ///< to be passed on
 };
 
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -7,19 +7,22 @@
 namespace {
 
 constexpr unsigned STATUS_OK = 200;
-constexpr unsigned STATUS_FAILURE = 500;                     // the first status that says that the server failed
+constexpr unsigned STATUS_FAILURE = 500; // the first status that says that the server failed
 constexpr unsigned STATUS_CONFLICT = 409;
 constexpr unsigned STATUS_MISDIRECTED = 421;
-constexpr std::size_t MAX_WHOLE_ANSWER = 8U * 1024 * 1024;   // answers that are not streams are kept until they are whole
+constexpr std::size_t MAX_WHOLE_ANSWER = 8U * 1024 * 1024; // answers that are not streams are kept until they are whole
 constexpr std::size_t MAX_EVENT_BYTES = 1024 * 1024;
-constexpr int MAX_UNREACHED = 4;                             // each costs up to a connect time-out
+constexpr int MAX_UNREACHED = 4; // each costs up to a connect time-out
 constexpr int MAX_STAGE_RESTARTS = 1;
-constexpr std::size_t LARGE_INPUT_BYTES = 100'000;           // smaller results cost less across domains than a worse target
+constexpr std::size_t LARGE_INPUT_BYTES = 100'000;            // smaller results cost less across domains than a worse target
 constexpr std::chrono::milliseconds LEAST_USEFUL_TIME { 20 }; // no target answers within less
-constexpr std::chrono::milliseconds ENGINE_START { 150 };    // usual time from sending to the first event
-constexpr std::chrono::milliseconds RETRY_SOON { 250 };      // a target that was full has moved on by then
-constexpr std::chrono::milliseconds RETRY_LATER { 1000 };    // time in which a crashed target is replaced in the list
-constexpr std::chrono::seconds RETRY_BANNED { 30 };          // longer than callers keep trying
+constexpr std::chrono::milliseconds ENGINE_START { 150 };     // usual time from sending to the first event
+constexpr std::chrono::milliseconds RETRY_SOON { 250 };       // a target that was full has moved on by then
+constexpr std::chrono::milliseconds RETRY_LATER { 1000 };     // time in which a crashed target is replaced in the list
+constexpr std::chrono::milliseconds RETRY_CROWDED { 3000 };   // queues of a burst are gone soon after it
+constexpr int HOPELESS_PERCENT = 150;                       // of the objective: estimates are a mean, and slightly late answers still help
+constexpr std::chrono::milliseconds RETRY_ELSEWHERE { 50 }; // a new connection reaches another daemon
+constexpr std::chrono::seconds RETRY_BANNED { 30 };         // longer than callers keep trying
 constexpr int MAX_URGENCY = 9;
 constexpr int URGENCY_PER_RANK = 2;
 constexpr int URGENCY_OF_LATE = 4;
@@ -35,6 +38,7 @@
     : m_request(std::move(request))
     , m_shared(shared)
     , m_plan(m_request.route->stages, m_request.pieceCounts)
+    , m_orderedAt(m_plan.size())
 {
 }
 
@@ -50,6 +54,15 @@
         giveUp(GiveUpCause::Hopeless, {}, RETRY_SOON, actions);
         return actions;
     }
+    const Duration stages = expectedTimeOfStages(now);
+    const Duration objective = m_request.route->objective;
+    if (stages + ENGINE_START > objective * HOPELESS_PERCENT / 100 && objective > Duration::zero()) {
+        giveUp(GiveUpCause::Crowded,
+               "stages_ms=" + millisecondsText(stages),
+               std::clamp<Duration>(stages - objective, RETRY_SOON, RETRY_CROWDED),
+               actions);
+        return actions;
+    }
     actions.emplace_back(WakeAt { m_request.endsAt() });
     orderReadyStages(actions, now);
     return actions;
@@ -70,6 +83,9 @@
                    },
                    end.outcome);
     }
+    if (!failure || failure == PieceFailure::Late) {
+        m_shared.stageTimes.note(m_plan.stage(stage).service, m_request.rank(), now - m_orderedAt.at(stage), now);
+    }
     if (failure == PieceFailure::InputGone && m_restarts < MAX_STAGE_RESTARTS) {
         restartStages(actions, now);
         return actions;
@@ -244,6 +260,21 @@
     return actions;
 }
 
+RelayActions RelayMachine::onShutdown(MonotonicTime now)
+{
+    RelayActions actions;
+    if (m_finished) {
+        return actions;
+    }
+    if (m_attempt) {
+        m_runState = RunState::MayHaveRun;
+        actions.emplace_back(CancelSend { m_attempt->number });
+        endAttempt(AttemptResult::Cancelled, now);
+    }
+    giveUp(GiveUpCause::ShuttingDown, {}, RETRY_ELSEWHERE, actions);
+    return actions;
+}
+
 const RelayRequest &RelayMachine::request() const
 {
     return m_request;
@@ -291,6 +322,7 @@
             order.inputs = m_plan.inputs(stage);
         }
         ++m_ordersOpen;
+        m_orderedAt.at(stage) = now;
         actions.emplace_back(OrderPieces { std::move(order) });
     }
     if (m_ordersOpen == 0 && m_plan.isComplete()) {
@@ -321,9 +353,35 @@
         if (std::find(follower.after.begin(), follower.after.end(), stage) == follower.after.end() || m_plan.pieces(next).empty()) {
             continue;
         }
-        const Service *service = m_request.table->service(follower.service);
-        const Duration own = service && service->pieces ? service->pieces->perCall + service->pieces->perPiece : Duration::zero();
-        longest = std::max(longest, own + workAfter(next));
+        longest = std::max(longest, leastTime(next) + workAfter(next));
+    }
+    return longest;
+}
+
+Duration RelayMachine::leastTime(std::size_t stage) const
+{
+    const Service *service = m_request.table->service(m_plan.stage(stage).service);
+    return service && service->pieces ? service->pieces->perCall + service->pieces->perPiece : Duration::zero();
+}
+
+// Of this stage and the longest branch that leads to it.
+Duration RelayMachine::expectedTime(std::size_t stage, MonotonicTime now) const
+{
+    Duration before {};
+    for (const std::size_t earlier : m_plan.stage(stage).after) {
+        before = std::max(before, expectedTime(earlier, now));
+    }
+    if (m_plan.pieces(stage).empty()) {
+        return before;
+    }
+    return before + m_shared.stageTimes.expected(m_plan.stage(stage).service, m_request.rank(), leastTime(stage), now);
+}
+
+Duration RelayMachine::expectedTimeOfStages(MonotonicTime now) const
+{
+    Duration longest {};
+    for (std::size_t stage = 0; stage < m_plan.size(); ++stage) {
+        longest = std::max(longest, expectedTime(stage, now));
     }
     return longest;
 }
@@ -426,8 +484,8 @@
             ++counts[maker->failureDomain];
         }
     }
-    const auto most = std::max_element(
-        counts.begin(), counts.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    const auto most =
+        std::max_element(counts.begin(), counts.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
     return most == counts.end() ? std::nullopt : std::optional(most->first);
 }
 
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -6,6 +6,7 @@
 #include "relayaction.h"
 #include "retrybudget.h"
 #include "stageplan.h"
+#include "stagetimes.h"
 #include "targetbook.h"
 
 #include <optional>
@@ -18,6 +19,7 @@
     TargetBook &targets;
     RetryBudget &retries;
     CrashRegister &crashes;
+    StageTimes &stageTimes;
     int vms = 1; ///< daemons that may share the retry budget
 };
 
@@ -47,6 +49,8 @@
     RelayActions onFailed(AttemptNumber attempt, SendFailure failure, const std::string &detail, MonotonicTime now);
     RelayActions onTimer(MonotonicTime now);
     RelayActions onCallerGone(MonotonicTime now);
+    /** The process ends: whatever has no answer yet gets its last one. */
+    RelayActions onShutdown(MonotonicTime now);
 
     const RelayRequest &request() const;
     bool isFinished() const;
@@ -59,8 +63,8 @@
         TargetRecord target;
         MonotonicTime sentAt;
         std::optional<AnswerHead> head;
-        std::string body;               ///< of an answer that is passed on as a whole
-        std::int64_t unreadTokens = 0;  ///< counted at the target as not read yet
+        std::string body;              ///< of an answer that is passed on as a whole
+        std::int64_t unreadTokens = 0; ///< counted at the target as not read yet
     };
     /** An answer of a target that another attempt may better. */
     struct Fallback {
@@ -73,6 +77,9 @@
     void orderReadyStages(RelayActions &actions, MonotonicTime now);
     void restartStages(RelayActions &actions, MonotonicTime now);
     Duration workAfter(std::size_t stage) const;
+    Duration leastTime(std::size_t stage) const;
+    Duration expectedTime(std::size_t stage, MonotonicTime now) const;
+    Duration expectedTimeOfStages(MonotonicTime now) const;
     void send(RelayActions &actions, MonotonicTime now);
     void sendTo(const TargetRecord &target, RelayActions &actions, MonotonicTime now);
     TargetNeed need() const;
@@ -92,16 +99,17 @@
     RelayShared &m_shared;
     StagePlan m_plan;
     std::size_t m_ordersOpen = 0;
+    std::vector<MonotonicTime> m_orderedAt; ///< by stage
     int m_restarts = 0;
     std::optional<Attempt> m_attempt;
     AttemptNumber m_attempts = 0;
     int m_unreached = 0;
-    std::set<TargetId> m_tried;     ///< a byte of the request may have reached them
-    std::set<TargetId> m_avoid;     ///< tried, or not reached
+    std::set<TargetId> m_tried; ///< a byte of the request may have reached them
+    std::set<TargetId> m_avoid; ///< tried, or not reached
     RunState m_runState = RunState::NotRun;
     std::optional<Fallback> m_fallback;
     EventFramer m_framer;
-    bool m_inputsFreed = false;     ///< the results of the stages have served and are gone
+    bool m_inputsFreed = false; ///< the results of the stages have served and are gone
     bool m_streamStarted = false;
     bool m_finished = false;
 };
--- a/src/libs/gateway/relayrequest.h
+++ b/src/libs/gateway/relayrequest.h
@@ -32,7 +32,7 @@
     MonotonicTime timeoutAt; ///< when operators want a final answer
     PromptShape prompt;
     std::vector<int> pieceCounts;
-    std::string inputKey; ///< names the input of the stages
+    std::string inputKey;                   ///< names the input of the stages
     std::optional<std::string> resumeAfter; ///< id of the last event that the caller has
     Fingerprint fingerprint;
 
--- a/src/libs/gateway/routetable.cpp
+++ b/src/libs/gateway/routetable.cpp
@@ -24,9 +24,8 @@
         m_routes[normalizedHost(route.host)].push_back(&route);
     }
     for (auto &[host, routes] : m_routes) {
-        std::stable_sort(routes.begin(), routes.end(), [](const Route *left, const Route *right) {
-            return left->prefix.size() > right->prefix.size();
-        });
+        std::stable_sort(
+            routes.begin(), routes.end(), [](const Route *left, const Route *right) { return left->prefix.size() > right->prefix.size(); });
     }
     for (const Organisation &organisation : m_configuration.organisations) {
         for (const std::string &key : organisation.keys) {
--- a/src/libs/gateway/routetable.h
+++ b/src/libs/gateway/routetable.h
@@ -31,7 +31,7 @@
 
 private:
     Configuration m_configuration;
-    std::unordered_map<std::string, std::vector<const Route *>> m_routes; ///< by host, longest prefix first
+    std::unordered_map<std::string, std::vector<const Route *>> m_routes;  ///< by host, longest prefix first
     std::unordered_map<std::string, const Organisation *> m_organisations; ///< by key
     std::unordered_map<ServiceName, const Service *> m_services;
 };
--- a/src/libs/gateway/stagepool.cpp
+++ b/src/libs/gateway/stagepool.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr int MAX_ATTEMPTS = 3;                          // a piece may be made again; more would draw on the shared retry budget
-constexpr double OVERDUE_FACTOR = 3;                     // calls of other daemons may run before, and targets differ in speed
+constexpr int MAX_ATTEMPTS = 3;                            // a piece may be made again; more would draw on the shared retry budget
+constexpr double OVERDUE_FACTOR = 3;                       // calls of other daemons may run before, and targets differ in speed
 constexpr std::chrono::milliseconds OVERDUE_SLACK { 500 }; // fetches of inputs and a slow start of the target
-constexpr int CALLS_TO_SPARE = 2;                        // a target of another domain is free again within about one call
-constexpr std::chrono::milliseconds FULL_REST { 60 };    // a fifth of a usual call: the target is full with calls of other daemons
+constexpr int CALLS_TO_SPARE = 2;                          // a target of another domain is free again within about one call
+constexpr std::chrono::milliseconds FULL_REST { 60 };      // a fifth of a usual call: the target is full with calls of other daemons
 
 // What the time would have been for a piece alone, so that full and nearly empty calls compare.
 Duration scaled(Duration measured, Duration expectedOfOne, Duration expected)
@@ -33,8 +33,13 @@
     m_room.setCapacity(capacity.resultBytes, capacity.resultLifetime);
 }
 
-void StagePool::submit(OrderId order, const PieceOrder &work)
+bool StagePool::submit(OrderId order, const PieceOrder &work, const TargetBook &targets, MonotonicTime now)
 {
+    const bool isFirstStage = work.inputs.empty();
+    const bool isCrowded = m_waiting.size() > callCapacity(targets, now);
+    if (isFirstStage && isCrowded && now + expectedWait(work.rank, targets, now) > work.usefulUntil) {
+        return false;
+    }
     for (const int piece : work.pieces) {
         Waiting waiting;
         waiting.order = order;
@@ -45,6 +50,7 @@
         waiting.item = { { work.request, work.stage, piece }, work.inputKey, work.inputs, work.giveUpAt };
         m_waiting.push_back(std::move(waiting));
     }
+    return true;
 }
 
 void StagePool::withdraw(OrderId order)
@@ -58,12 +64,17 @@
     m_room.release(result);
 }
 
-std::vector<OrderProgress> StagePool::expire(MonotonicTime now)
+// In a crowd a late piece would only be made in place of one that can still be punctual. Its caller had better come back, and the
+// results of its earlier stages make room at once instead of when they lapse.
+std::vector<OrderProgress> StagePool::expire(const TargetBook &targets, MonotonicTime now)
 {
     std::vector<OrderProgress> ends;
     m_room.expire(now);
     const Duration shortest = workTime(1);
-    const auto hopeless = [now, shortest](const Waiting &piece) { return now + shortest > piece.item.giveUpAt; };
+    const bool isCrowded = m_waiting.size() > callCapacity(targets, now);
+    const auto hopeless = [now, shortest, isCrowded](const Waiting &piece) {
+        return now + shortest > piece.item.giveUpAt || (isCrowded && now + shortest > piece.usefulUntil);
+    };
     for (const Waiting &piece : m_waiting) {
         if (hopeless(piece)) {
             ends.push_back({ piece.order, { piece.item.piece.number, PieceFailure::Late } });
@@ -104,7 +115,10 @@
     return calls;
 }
 
-std::vector<OrderProgress> StagePool::onAnswered(CallId call, const std::vector<PieceOutcome> &outcomes, TargetBook &targets, MonotonicTime now)
+std::vector<OrderProgress> StagePool::onAnswered(CallId call,
+                                                 const std::vector<PieceOutcome> &outcomes,
+                                                 TargetBook &targets,
+                                                 MonotonicTime now)
 {
     std::vector<OrderProgress> ends;
     const auto found = m_running.find(call);
@@ -174,6 +188,15 @@
     return m_waiting.size();
 }
 
+std::size_t StagePool::freeBytes(const TargetBook &targets, MonotonicTime now) const
+{
+    std::size_t bytes = 0;
+    for (const TargetRecord &target : targets.usable(m_service, now)) {
+        bytes += m_room.isLimited() ? m_room.freeBytes(target.id) : 0;
+    }
+    return bytes;
+}
+
 std::size_t StagePool::running() const
 {
     return m_running.size();
@@ -193,6 +216,12 @@
     return workTime(batch) * static_cast<int>(calls) + workTime(std::min(batch, ahead / usable + 1));
 }
 
+// Pieces that one round of calls takes.
+std::size_t StagePool::callCapacity(const TargetBook &targets, MonotonicTime now) const
+{
+    return static_cast<std::size_t>(std::max(1, m_capacity.batch)) * targets.usable(m_service, now).size();
+}
+
 Duration StagePool::workTime(std::size_t pieces) const
 {
     return m_capacity.perCall + m_capacity.perPiece * static_cast<int>(pieces);
--- a/src/libs/gateway/stagepool.h
+++ b/src/libs/gateway/stagepool.h
@@ -46,19 +46,22 @@
     StagePool(ServiceName service, PieceCapacity capacity);
 
     void adopt(const PieceCapacity &capacity);
-    void submit(OrderId order, const PieceOrder &work);
+    /** False when a first stage would come too late because of the work ahead of it; nothing is taken then. */
+    bool submit(OrderId order, const PieceOrder &work, const TargetBook &targets, MonotonicTime now);
     /** Forgets what waits of an order; what runs goes on. */
     void withdraw(OrderId order);
     /** Nobody needs the result any more. */
     void release(const StageResult &result);
-    /** Ends pieces that can't be made in time. */
-    std::vector<OrderProgress> expire(MonotonicTime now);
+    /** Ends pieces that can't be made in time, and late ones while there is more than enough other work. */
+    std::vector<OrderProgress> expire(const TargetBook &targets, MonotonicTime now);
     /** Calls to make now. */
     std::vector<StageCall> dispatch(TargetBook &targets, MonotonicTime now);
     /** @param outcomes one for each item of the call */
     std::vector<OrderProgress> onAnswered(CallId call, const std::vector<PieceOutcome> &outcomes, TargetBook &targets, MonotonicTime now);
     std::vector<OrderProgress> onFailed(CallId call, AttemptResult result, TargetBook &targets, MonotonicTime now);
     std::size_t waiting() const;
+    /** Bytes of results that all targets of the service still have room for. */
+    std::size_t freeBytes(const TargetBook &targets, MonotonicTime now) const;
     std::size_t running() const;
     /** Time until a piece of this rank that came now would be done. */
     Duration expectedWait(int rank, const TargetBook &targets, MonotonicTime now) const;
@@ -80,6 +83,7 @@
         std::vector<Waiting> pieces;
     };
 
+    std::size_t callCapacity(const TargetBook &targets, MonotonicTime now) const;
     Duration workTime(std::size_t pieces) const;
     std::vector<Waiting> takeBatch(const TargetRecord &target, MonotonicTime now);
     void sortWaiting(MonotonicTime now);
--- a/src/libs/gateway/targetbook.cpp
+++ b/src/libs/gateway/targetbook.cpp
@@ -13,10 +13,10 @@
 constexpr double CACHE_LOAD_FACTOR = 2;             // a target with the cached prompt may have this many times the least load
 constexpr double CACHE_LOAD_SLACK = 4;              // running requests by which it may exceed that
 constexpr double OTHER_DOMAIN_COST = 1.5;           // running requests that a fetch of large inputs across domains is worth
-constexpr std::chrono::milliseconds LOAD_LIFETIME { 1000 }; // half of the requests of an engine end within about this time
+constexpr std::chrono::milliseconds LOAD_LIFETIME { 1000 };   // half of the requests of an engine end within about this time
 constexpr std::chrono::milliseconds NO_TARGET_RETRY { 1000 }; // a crashed target is usually back after seconds
-constexpr std::chrono::milliseconds COLD_RETRY { 500 };     // half of the window that cold starts are counted in
-constexpr double COLD_SAFETY = 0.8; // requests sent within one second may arrive within less
+constexpr std::chrono::milliseconds COLD_RETRY { 500 };       // half of the window that cold starts are counted in
+constexpr double COLD_SAFETY = 0.8;                           // requests sent within one second may arrive within less
 
 } // namespace
 
--- a/src/libs/gateway/targetbook.h
+++ b/src/libs/gateway/targetbook.h
@@ -16,11 +16,11 @@
 /** What a request needs of the target that runs it. */
 struct TargetNeed {
     ServiceName service;
-    std::set<TargetId> avoid;             ///< targets that the request has already been sent to
-    std::optional<std::uint64_t> cacheKey; ///< hash of the shared prompt parts; equal keys go to the same targets
-    std::int64_t tokens = 0;              ///< prompt tokens that the target has to read
+    std::set<TargetId> avoid;                 ///< targets that the request has already been sent to
+    std::optional<std::uint64_t> cacheKey;    ///< hash of the shared prompt parts; equal keys go to the same targets
+    std::int64_t tokens = 0;                  ///< prompt tokens that the target has to read
     std::optional<FailureDomain> inputDomain; ///< where the large inputs of the request lie
-    std::vector<Region> allowedRegions;   ///< empty: all
+    std::vector<Region> allowedRegions;       ///< empty: all
 };
 
 struct ChosenTarget {
--- a/src/libs/gateway/targethealth.cpp
+++ b/src/libs/gateway/targethealth.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr double WEIGHT_OF_NEWEST = 0.1;                  // about the last ten attempts count
-constexpr double WEIGHT_OF_NEWEST_LATENCY = 0.2;          // about the last five answers count
-constexpr std::chrono::milliseconds FIRST_PAUSE { 250 };  // a restarted process needs about as long to listen again
+constexpr double WEIGHT_OF_NEWEST = 0.1;                    // about the last ten attempts count
+constexpr double WEIGHT_OF_NEWEST_LATENCY = 0.2;            // about the last five answers count
+constexpr std::chrono::milliseconds FIRST_PAUSE { 250 };    // a restarted process needs about as long to listen again
 constexpr std::chrono::milliseconds LONGEST_PAUSE { 2000 }; // a crashed target is back, or out of the list, within seconds
 constexpr int MAX_DOUBLINGS = 3;
 
--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -26,7 +26,7 @@
 
 constexpr std::size_t READ_BUFFER_BYTES = 8192;
 constexpr std::size_t MAX_HEAD_BYTES = 64 * 1024;
-constexpr int MAX_FOREIGN_RESPONSES = 4; // a connection that is further out of step is not worth reading on
+constexpr int MAX_FOREIGN_RESPONSES = 4;                 // a connection that is further out of step is not worth reading on
 constexpr std::chrono::milliseconds IDLE_SAFETY { 500 }; // a connection is not used so shortly before the server closes it
 
 using Stream = boost::beast::tcp_stream;
@@ -394,6 +394,10 @@
 
     void failWith(const error_code &error)
     {
+        if (m_foreignResponses > 0) {
+            fail(CallFailure::Malformed, m_server + " sent only the response to another request");
+            return;
+        }
         const bool malformed = error.category() == http::make_error_code(http::error::bad_version).category()
             && error != http::error::end_of_stream && error != http::error::partial_message;
         if (malformed) {
@@ -434,8 +438,8 @@
     http::request<http::string_body> m_message;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, READ_BUFFER_BYTES> m_chunk {};
-    bool m_writing = false; ///< a byte of the request may have left
-    bool m_written = false; ///< all of it has
+    bool m_writing = false;   ///< a byte of the request may have left
+    bool m_written = false;   ///< all of it has
     bool m_isForeign = false; ///< the response that is being read is to another request
     int m_foreignResponses = 0;
     bool m_paused = false;
--- a/src/libs/settings/gatewaysettings.cpp
+++ b/src/libs/settings/gatewaysettings.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-constexpr double DEFAULT_SHUTDOWN_S = 8;      // usual time between SIGTERM and SIGKILL
-constexpr double DEFAULT_RETRY_RATIO = 0.1;   // one in ten, as for pipelines
-constexpr double DEFAULT_RETRY_EXTRA = 10;    // lets a quiet service retry at all
+constexpr double DEFAULT_SHUTDOWN_S = 8;    // usual time between SIGTERM and SIGKILL
+constexpr double DEFAULT_RETRY_RATIO = 0.1; // one in ten, as for pipelines
+constexpr double DEFAULT_RETRY_EXTRA = 10;  // lets a quiet service retry at all
 constexpr double DEFAULT_RETRY_WINDOW_S = 10;
 constexpr double DEFAULT_COLD_FACTOR = 1;
 constexpr double DEFAULT_COLD_SLACK = 0;
-constexpr int DEFAULT_MAX_VMS = 12;           // the size of a cell
-constexpr int DEFAULT_METRICS_PORT = 9464;    // the customary port of Prometheus exporters
+constexpr int DEFAULT_MAX_VMS = 12;        // the size of a cell
+constexpr int DEFAULT_METRICS_PORT = 9464; // the customary port of Prometheus exporters
 
 Duration seconds(double value)
 {
--- /dev/null
+++ b/tests/auto/gateway/tst_catalogue.cpp
@@ -0,0 +1,121 @@
+#include "samples.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace CassiaRelay;
+using namespace CassiaRelay::Gateway;
+using namespace CassiaRelay::Gateway::Samples;
+
+namespace {
+
+StoreEntry published(const std::string &id)
+{
+    return TargetPublished { target(id, "engine") };
+}
+
+StoreEntry removed(const std::string &id)
+{
+    return TargetRemoved { TargetId(id) };
+}
+
+StoreEntry configuration(std::int64_t version)
+{
+    ConfigurationPublished entry;
+    entry.configuration.version = version;
+    return entry;
+}
+
+template<typename Change>
+std::size_t count(const CatalogueChanges &changes)
+{
+    std::size_t number = 0;
+    for (const CatalogueChange &change : changes) {
+        number += std::holds_alternative<Change>(change) ? 1 : 0;
+    }
+    return number;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(catalogue)
+
+BOOST_AUTO_TEST_CASE(versionsOnlyRise)
+{
+    Catalogue catalogue;
+    catalogue.applyListing({ configuration(7) }, 1, START);
+    BOOST_TEST(count<TableAdopted>(catalogue.applyChanges({ { configuration(6) }, 2 }, START)) == 0);
+    BOOST_TEST(catalogue.table()->version() == 7);
+    catalogue.applyListing({ configuration(5) }, 3, START);
+    BOOST_TEST(catalogue.table()->version() == 7);
+    catalogue.applyChanges({ { configuration(9) }, 4 }, START);
+    BOOST_TEST(catalogue.table()->version() == 9);
+}
+
+BOOST_AUTO_TEST_CASE(removedTargetIsGoneAtOnce)
+{
+    Catalogue catalogue;
+    catalogue.applyListing({ published("one"), published("two") }, 1, START);
+    const CatalogueChanges changes = catalogue.applyChanges({ { removed("one") }, 2 }, START);
+    BOOST_TEST(count<TargetDropped>(changes) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(lapsedEntryIsBelievedForAGraceAfterTheStoresReturn)
+{
+    Catalogue catalogue;
+    catalogue.applyListing({ published("one"), published("two") }, 1, START);
+    catalogue.noteTrouble();
+    catalogue.noteAnswer();
+    BOOST_TEST(count<TargetDropped>(catalogue.applyChanges({ { removed("one"), removed("two") }, 2 }, START)) == 0);
+    catalogue.noteAnswer();
+    catalogue.applyChanges({ { published("one") }, 3 }, START + seconds(1));
+    BOOST_TEST(count<TargetDropped>(catalogue.expire(START + seconds(2))) == 0);
+    BOOST_REQUIRE(catalogue.nextExpiry().has_value());
+    BOOST_TEST((*catalogue.nextExpiry() <= START + milliseconds(2500)));
+    BOOST_TEST(count<TargetDropped>(catalogue.expire(*catalogue.nextExpiry())) == 1);
+    BOOST_TEST(!catalogue.nextExpiry().has_value());
+}
+
+// rk-relay hunt-a593-11: a target that left 0.1 s after the store's return got requests for two more seconds.
+BOOST_AUTO_TEST_CASE(targetThatLeavesAfterTheStoresReturnIsGoneAtOnce)
+{
+    Catalogue catalogue;
+    catalogue.applyListing({ published("one") }, 1, START);
+    catalogue.noteTrouble();
+    catalogue.noteAnswer();
+    catalogue.applyChanges({ {}, 2 }, START);
+    catalogue.noteAnswer();
+    BOOST_TEST(count<TargetDropped>(catalogue.applyChanges({ { removed("one") }, 3 }, START + milliseconds(100))) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(leavingTargetGetsNoGrace)
+{
+    Catalogue catalogue;
+    TargetRecord leaving = target("one", "engine");
+    leaving.isLeaving = true;
+    catalogue.applyListing({ TargetPublished { leaving } }, 1, START);
+    catalogue.noteTrouble();
+    catalogue.noteAnswer();
+    BOOST_TEST(count<TargetDropped>(catalogue.applyListing({}, 2, START)) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(listingTakesADomainBackThatIsNotListedAsOut)
+{
+    Catalogue catalogue;
+    catalogue.applyListing({ DomainTakenOut { FailureDomain("a") } }, 1, START);
+    const CatalogueChanges changes = catalogue.applyListing({}, 2, START);
+    BOOST_REQUIRE_EQUAL(count<DomainChanged>(changes), 1U);
+    BOOST_TEST(!std::get<DomainChanged>(changes.front()).isOut);
+}
+
+BOOST_AUTO_TEST_CASE(restartUnderTheOldIdIsSeen)
+{
+    Catalogue catalogue;
+    catalogue.applyListing({ published("one") }, 1, START);
+    TargetRecord again = target("one", "engine");
+    again.startedAtMs = 2;
+    const CatalogueChanges changes = catalogue.applyChanges({ { TargetPublished { again } }, 2 }, START);
+    BOOST_REQUIRE_EQUAL(changes.size(), 2U);
+    BOOST_TEST(std::get<TargetDropped>(changes.front()).hasRestarted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE gateway
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/tests/auto/platform/tst_platform.cpp
@@ -0,0 +1,259 @@
+#define BOOST_TEST_MODULE platform
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <platform/platform.h>
+
+using namespace CassiaRelay;
+using namespace CassiaRelay::Gateway;
+using nlohmann::json;
+
+namespace {
+
+const Platform::Adapter ADAPTER;
+const MonotonicTime START = MonotonicTime() + std::chrono::hours(1);
+
+std::string base64(const std::string &text)
+{
+    constexpr const char *LETTERS = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string encoded;
+    for (std::size_t index = 0; index < text.size(); index += 3) {
+        std::uint32_t group = 0;
+        for (std::size_t byte = 0; byte < 3; ++byte) {
+            group = group << 8U | (index + byte < text.size() ? static_cast<unsigned char>(text[index + byte]) : 0U);
+        }
+        for (std::size_t letter = 0; letter < 4; ++letter) {
+            encoded += index + letter > text.size() ? '=' : LETTERS[group >> (18U - 6U * letter) & 63U];
+        }
+    }
+    return encoded;
+}
+
+json item(const std::string &key, const std::string &value)
+{
+    return { { "key", key }, { "value", base64(value) }, { "revision", 3 } };
+}
+
+StorePage page(const json &items)
+{
+    return ADAPTER.readPage(json { { "items", items }, { "truncated", false }, { "currentRev", 9 } }.dump());
+}
+
+const json RUNNER { { "service", "svc" }, { "address", "10.0.0.9:8080" }, { "zone", "east" }, { "slots", 8 },
+                    { "state", "ready" }, { "coldRemainingMs", 250.5 },   { "born", 17 },     { "seq", 4 } };
+
+json runnerWith(const std::string &name, const json &value)
+{
+    json changed = RUNNER;
+    changed[name] = value;
+    return changed;
+}
+
+const HttpField *find(const std::vector<HttpField> &fields, const std::string &name)
+{
+    for (const HttpField &field : fields) {
+        if (field.name == name) {
+            return &field;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(runnerEntryNamesATarget)
+{
+    const StorePage listed = page(json::array({ item("servers/i-1", RUNNER.dump()) }));
+    BOOST_REQUIRE_EQUAL(listed.entries.size(), 1U);
+    const TargetRecord record = std::get<TargetPublished>(listed.entries[0]).record;
+    BOOST_TEST(record.id.value() == "i-1");
+    BOOST_TEST(record.endpoint.text() == "10.0.0.9:8080");
+    BOOST_TEST(record.failureDomain.value() == "east");
+    BOOST_TEST(record.startedAtMs == 17);
+    BOOST_TEST(record.coldFor.count() == 250);
+    BOOST_TEST(!record.isLeaving);
+    BOOST_TEST(listed.revision == 9);
+}
+
+BOOST_AUTO_TEST_CASE(oddEntriesNameNoTargetAndTheOthersHold)
+{
+    const std::vector<std::string> odd { "not json",
+                                         "[]",
+                                         "{}",
+                                         runnerWith("state", "resting").dump(),
+                                         runnerWith("state", 3).dump(),
+                                         runnerWith("address", "nowhere").dump(),
+                                         runnerWith("born", "yesterday").dump(),
+                                         runnerWith("slots", json::array()).dump(),
+                                         std::string("\xff\xfe\x00\x01", 4) };
+    json items = json::array({ item("servers/good", RUNNER.dump()) });
+    for (std::size_t index = 0; index < odd.size(); ++index) {
+        items.push_back(item("servers/odd" + std::to_string(index), odd[index]));
+    }
+    items.push_back({ { "key", "servers/text" }, { "value", "no base64!" } });
+    items.push_back({ { "key", "servers/number" }, { "value", 5 } });
+    items.push_back(item("other/key", "{}"));
+    std::size_t good = 0;
+    std::size_t unreadable = 0;
+    std::size_t removed = 0;
+    for (const StoreEntry &entry : page(items).entries) {
+        good += std::holds_alternative<TargetPublished>(entry) ? 1 : 0;
+        unreadable += std::holds_alternative<EntryUnreadable>(entry) ? 1 : 0;
+        removed += std::holds_alternative<TargetRemoved>(entry) ? 1 : 0;
+    }
+    BOOST_TEST(good == 1U);
+    BOOST_TEST(unreadable == odd.size() + 2);
+    BOOST_TEST(removed == unreadable);
+}
+
+BOOST_AUTO_TEST_CASE(changesCarryRemovals)
+{
+    const json events { { { "key", "servers/i-1" }, { "revision", 4 }, { "removed", true } },
+                        { { "key", "op/evacuate/east" }, { "revision", 5 }, { "removed", true } },
+                        item("op/evacuate/west", "{}") };
+    const StoreChanges changes = ADAPTER.readChanges(json { { "events", events }, { "currentRev", 6 } }.dump());
+    BOOST_REQUIRE_EQUAL(changes.entries.size(), 3U);
+    BOOST_TEST(std::get<TargetRemoved>(changes.entries[0]).id.value() == "i-1");
+    BOOST_TEST(std::get<DomainTakenBack>(changes.entries[1]).domain.value() == "east");
+    BOOST_TEST(std::get<DomainTakenOut>(changes.entries[2]).domain.value() == "west");
+    BOOST_TEST(changes.revision == 6);
+    BOOST_CHECK_THROW(ADAPTER.readChanges("{}"), Error);
+    BOOST_CHECK_THROW(ADAPTER.readChanges("<html>"), Error);
+}
+
+BOOST_AUTO_TEST_CASE(pagesFollowEachOther)
+{
+    const json items { item("servers/a", RUNNER.dump()), item("servers/b", RUNNER.dump()) };
+    const StorePage first = ADAPTER.readPage(json { { "items", items }, { "truncated", true }, { "currentRev", 9 } }.dump());
+    BOOST_TEST(first.nextAfter == "servers/b");
+    BOOST_TEST(ADAPTER.listCall(first.nextAfter).path.find("after=servers/b") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(configurationIsDecodedOnce)
+{
+    const json document {
+        { "version", 7 },
+        { "routes",
+          { { { "name", "r" },
+              { "host", "h.example" },
+              { "prefix", "/p/" },
+              { "kind", "stream" },
+              { "timeoutMs", 15000 },
+              { "targetLatencyMs", 1400 },
+              { "priority", 1 },
+              { "maxAttempts", 2 },
+              { "resumable", true },
+              { "trafficSplit", { { { "service", "a" }, { "weight", 90 } }, { { "service", "b" }, { "weight", 10 } } } },
+              { "stages", { { { "service", "s" }, { "after", json::array() }, { "bytes", 800000 } } } } } } },
+        { "services",
+          { { { "name", "s" },
+              { "pieces", { { "batch", 14 }, { "callMs", 240.0 }, { "itemMs", 15.5 }, { "headroomMb", 17.0 }, { "handleS", 4.0 } } } } } },
+        { "limits", { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 4194304 }, { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } } },
+        { "tenants", { { { "name", "clinic" }, { "apiKeys", { "k" } }, { "priority", 1 } } } }
+    };
+    const StorePage listed = page(json::array({ item("op/config", document.dump()) }));
+    const Configuration configuration = std::get<ConfigurationPublished>(listed.entries.at(0)).configuration;
+    const Route &route = configuration.routes.at(0);
+    BOOST_TEST(configuration.version == 7);
+    BOOST_TEST((route.kind == RouteKind::Stream));
+    BOOST_TEST(route.objective.count() == 1400);
+    BOOST_TEST(route.services.size() == 2U);
+    BOOST_TEST(route.isResumable);
+    BOOST_TEST(route.stages.at(0).resultBytes == 800000U);
+    BOOST_TEST((configuration.services.at(0).pieces->perPiece == std::chrono::microseconds(15500)));
+    BOOST_TEST(configuration.services.at(0).pieces->resultBytes == 17000000U);
+    BOOST_TEST(configuration.limits.idleTimeout.count() == 15000);
+    BOOST_TEST(configuration.organisations.at(0).rank.value_or(0) == 1);
+
+    json unknownKind = document;
+    unknownKind["routes"][0]["kind"] = "maybe";
+    BOOST_TEST(std::holds_alternative<EntryUnreadable>(page(json::array({ item("op/config", unknownKind.dump()) })).entries.at(0)));
+}
+
+BOOST_AUTO_TEST_CASE(callerFieldsAreDecoded)
+{
+    const CallerHead head = ADAPTER.readCaller({ { "Host", "h.example" },
+                                                 { "x-cassiarelay-request-id", "id-1" },
+                                                 { "X-Cassiarelay-Deadline-Ms", "1500" },
+                                                 { "Authorization", "Bearer secret" },
+                                                 { "X-Cassiarelay-Token-Counts", "1460,80" },
+                                                 { "X-Cassiarelay-Prompt-Prefix", "5c:800,91:410" },
+                                                 { "X-Cassiarelay-Pieces", "2,0,1" },
+                                                 { "X-Cassiarelay-Piece-Key", "key" } });
+    BOOST_TEST(head.id.value() == "id-1");
+    BOOST_TEST(head.patience->count() == 1500);
+    BOOST_TEST(*head.key == "secret");
+    BOOST_TEST(head.prompt.promptTokens == 1460);
+    BOOST_TEST(head.prompt.parts.size() == 2U);
+    BOOST_TEST((head.pieceCounts == std::vector<int> { 2, 0, 1 }));
+    BOOST_TEST(!ADAPTER.readCaller({ { "X-Cassiarelay-Deadline-Ms", "soon" } }).patience.has_value());
+    BOOST_TEST(!ADAPTER.readCaller({ { "Authorization", "Basic secret" } }).key.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(keyAndFieldsOfTheDaemonAreNotPassedOn)
+{
+    TargetHead head;
+    head.timeLeft = std::chrono::milliseconds(900);
+    head.expected = TargetId("i-1");
+    head.organisation = OrganisationId("clinic");
+    const std::vector<HttpField> fields = ADAPTER.targetFields({ { "Authorization", "Bearer secret" },
+                                                                 { "X-Cassiarelay-Tenant", "forged" },
+                                                                 { "X-Cassiarelay-Hold", "forged" },
+                                                                 { "X-Cassiarelay-Pin-Ms", "1" },
+                                                                 { "X-Cassiarelay-Kv-Backup", "1" },
+                                                                 { "Kv-From", "1" },
+                                                                 { "Connection", "close, X-Hop" },
+                                                                 { "X-Hop", "1" },
+                                                                 { "Transfer-Encoding", "chunked" },
+                                                                 { "X-Cassiarelay-Model", "m" },
+                                                                 { "X-Other", "kept" } },
+                                                               head);
+    for (const char *name : { "Authorization",
+                              "X-Cassiarelay-Hold",
+                              "X-Cassiarelay-Pin-Ms",
+                              "X-Cassiarelay-Kv-Backup",
+                              "Kv-From",
+                              "Connection",
+                              "X-Hop",
+                              "Transfer-Encoding" }) {
+        BOOST_TEST(!find(fields, name), name);
+    }
+    BOOST_TEST(find(fields, "X-Cassiarelay-Tenant")->value == "clinic");
+    BOOST_TEST(find(fields, "X-Cassiarelay-Expect-Instance")->value == "i-1");
+    BOOST_TEST(find(fields, "X-Cassiarelay-Deadline-Ms")->value == "900");
+    BOOST_TEST(find(fields, "X-Other"));
+    BOOST_TEST(find(fields, "X-Cassiarelay-Model"));
+    BOOST_TEST(!find(fields, "X-Cassiarelay-Inputs"));
+}
+
+BOOST_AUTO_TEST_CASE(answersAreDecoded)
+{
+    const TargetAnswer answer = ADAPTER.readAnswer(503,
+                                                   { { "X-Cassiarelay-Not-Executed", "1" },
+                                                     { "X-Cassiarelay-Instance-Load", "3,1,8" },
+                                                     { "Connection", "close" },
+                                                     { "Content-Length", "0" } });
+    BOOST_TEST(answer.head.isNotRun);
+    BOOST_TEST(!answer.head.isStamped);
+    BOOST_TEST(answer.load->waiting == 1);
+    BOOST_TEST(!find(answer.head.fields, "Connection"));
+    BOOST_TEST(!find(answer.head.fields, "Content-Length"));
+}
+
+BOOST_AUTO_TEST_CASE(stageCallsCarryEachPieceOnce)
+{
+    StageCall call;
+    call.target.id = TargetId("i-1");
+    call.items = { { { RequestId("a"), 0, 2 }, "key", {}, START + std::chrono::milliseconds(900) },
+                   { { RequestId("b"), 2, 0 }, "", { "h1", "h2" }, START - std::chrono::seconds(1) } };
+    const WireCall wire = ADAPTER.stageCall(call, START);
+    const json body = json::parse(wire.body);
+    BOOST_TEST(body["items"][0]["leftMs"] == 900);
+    BOOST_TEST(body["items"][0]["key"] == "key");
+    BOOST_TEST(body["items"][1]["leftMs"] == 0);
+    BOOST_TEST(body["items"][1]["inputs"].size() == 2U);
+    BOOST_TEST(!body["items"][1].contains("key"));
+    const auto outcomes = ADAPTER.readStageResults(call, R"({"items":[{"handle":"h"},{"reason":"gone"}]})");
+    BOOST_TEST(std::get<StageResult>(outcomes[0]).handle == "h");
+    BOOST_TEST((std::get<PieceFailure>(outcomes[1]) == PieceFailure::InputGone));
+    BOOST_CHECK_THROW(ADAPTER.readStageResults(call, R"({"items":[{"handle":"h"}]})"), Error);
+}
