Keep a connection that was promised to stay when a drain begins before the response is written

Cause: the head says keep-alive, the drain begins, and when the last byte is written the session closed because it was draining; the next request met the end. The new test makes the order certain: it failed on every run before, passes now.

--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -304,7 +304,8 @@
         m_exchange->release();
         m_exchange = nullptr;
     }
-    if (m_keepAlive && !m_state->draining) {
+    // Also while draining: the head has promised that the connection stays, so that the next request may be on its way.
+    if (m_keepAlive) {
         waitForRequest();
         return;
     }
--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -190,6 +190,28 @@
     }
 }
 
+// A response that promised to keep the connection was followed by its end when the drain began before the response was written.
+BOOST_AUTO_TEST_CASE(connectionThatWasPromisedToStaySurvivesTheStartOfADrain)
+{
+    Net::HttpLimits limits;
+    limits.drainIdleTimeout = 3s;
+    Net::HttpServer *drained = nullptr;
+    Server server(
+        [&drained](const HttpExchangePointer &exchange) {
+            echo(exchange);
+            drained->drain();
+        },
+        limits);
+    drained = &server.http();
+    Client client(server.http().port());
+    client.send(post("/", "1"));
+    BOOST_TEST(client.read().keep_alive());
+    client.send(post("/", "2"));
+    const Response last = client.read();
+    BOOST_TEST(last.body() == "2");
+    BOOST_TEST(!last.keep_alive());
+}
+
 BOOST_AUTO_TEST_CASE(keepsManyIdleConnections)
 {
     constexpr int CONNECTIONS = 400;
