Never pass an earlier answer on within a started stream

A resumable stream whose first attempt had ended with a failure of the target's own kept that answer for the case that no later attempt gives a better one. When a second attempt had begun the stream, was lost, and the third was turned away or found no target, the whole first answer would have followed the events of the second.

Found by reading. Ruled out: the branch for a lost connection, which asked for a started stream first. Test: earlierAnswerIsNotPassedOnWithinAStream, which failed before. Conclusion: the stream is broken off instead, as in the other branch.

--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -407,7 +407,7 @@
                        sendTo(chosen.record, actions, now);
                    },
                    [&](const NoTarget &none) {
-                       if (m_fallback) {
+                       if (m_fallback && !m_streamStarted) {
                            finish(PassAnswer { m_fallback->head, m_fallback->body }, actions);
                        } else if (m_streamStarted) {
                            finish(BreakStream {}, actions);
@@ -553,7 +553,7 @@
         send(actions, now);
         return;
     }
-    if (m_fallback) {
+    if (m_fallback && !m_streamStarted) {
         finish(PassAnswer { m_fallback->head, m_fallback->body }, actions);
         return;
     }
@@ -579,7 +579,7 @@
         finish(BreakStream {}, actions);
         return;
     }
-    if (m_fallback) {
+    if (m_fallback && !m_streamStarted) {
         finish(PassAnswer { m_fallback->head, m_fallback->body }, actions);
         return;
     }
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -205,6 +205,24 @@
     BOOST_TEST(find<EndStream>(machine.onFinished(second, START)));
 }
 
+// The first answer must not follow events of a later one.
+BOOST_AUTO_TEST_CASE(earlierAnswerIsNotPassedOnWithinAStream)
+{
+    World world;
+    Route resumable = route(RouteKind::Stream, 3);
+    resumable.isResumable = true;
+    RelayMachine machine = world.machine(resumable);
+    const AttemptNumber first = sent(machine.start(START));
+    const AttemptNumber second = sent(answer(machine, first, 500, "broken"));
+    machine.onHead(second, head(200), START);
+    machine.onBody(second, "id: 1\ndata: a\n\n", START);
+    const AttemptNumber third = sent(machine.onFailed(second, SendFailure::Lost, "reset", START));
+    machine.onHead(third, head(503, false, true), START);
+    const RelayActions last = machine.onFinished(third, START);
+    BOOST_TEST(!find<PassAnswer>(last));
+    BOOST_TEST(find<BreakStream>(last));
+}
+
 BOOST_AUTO_TEST_CASE(stagesRunFirstAndTheirResultsAreFreedAtTheFirstEvent)
 {
     World world;
