Take over a settings file that changes without a signal, and the limits in it

Cause: only SIGHUP reloaded, and only seeds and shutdown time; the platform may replace the file without telling. The time of the file is looked at once a second (no inotify on the platform); ratio and extra of the retry budget, cold limits and the assumed number of daemons follow it. Addresses stay those of the start. Ruled out: polling with the store's watch, which may be silent.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -38,6 +38,24 @@
     return regions;
 }
 
+Gateway::RetryLimits toRetryLimits(const Settings::GatewaySettings &settings)
+{
+    return { settings.retryRatio, settings.retryExtra, settings.retryWindow };
+}
+
+Gateway::ColdLimits toColdLimits(const Settings::GatewaySettings &settings)
+{
+    return { settings.coldFactor, settings.coldSlack };
+}
+
+// The oldest time of all when the file can't be asked for it: whoever replaces a file may take it away for a moment.
+std::filesystem::file_time_type writtenAt(const std::string &fileName)
+{
+    std::error_code error;
+    const auto written = std::filesystem::last_write_time(fileName, error);
+    return error ? std::filesystem::file_time_type::min() : written;
+}
+
 Net::HttpLimits toServerLimits(const Gateway::CallerLimits &limits)
 {
     Net::HttpLimits server;
@@ -63,14 +81,15 @@
 
 GatewayDaemon::GatewayDaemon(std::string settingsFile, const Settings::GatewaySettings &settings, const Gateway::PlatformPort &port)
     : m_settingsFile(std::move(settingsFile))
+    , m_settingsWritten(writtenAt(m_settingsFile))
     , m_settings(settings)
     , m_port(port)
     , m_log(settings.logLevel)
     , m_targetClient(m_context, clientLimits(IDLE_PER_TARGET))
     , m_storeClient(m_context, clientLimits(1))
     , m_peerClient(m_context, clientLimits(IDLE_PER_PEER))
-    , m_targets({ settings.coldFactor, settings.coldSlack }, toRegions(settings), stableHash(settings.vm.value()))
-    , m_retries({ settings.retryRatio, settings.retryExtra, settings.retryWindow })
+    , m_targets(toColdLimits(settings), toRegions(settings), stableHash(settings.vm.value()))
+    , m_retries(toRetryLimits(settings))
     , m_relay { m_targets, m_retries, m_crashes, m_stageTimes, settings.maxVms }
     , m_members(settings.vm, settings.peers.value_or(settings.callers))
     , m_pieces(m_context, m_targetClient, m_peerClient, port, m_targets, m_members, m_metrics, m_log)
@@ -282,17 +301,30 @@
 void GatewayDaemon::reload()
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
+    m_settingsWritten = writtenAt(m_settingsFile);
     try {
         const Settings::GatewaySettings fresh = Settings::loadGatewaySettings(m_settingsFile);
         m_settings.seeds = fresh.seeds;
         m_settings.shutdownTime = fresh.shutdownTime;
+        m_settings.maxVms = fresh.maxVms;
         m_members.setSeeds(fresh.seeds);
+        m_retries.setLimits(toRetryLimits(fresh));
+        m_targets.setColdLimits(toColdLimits(fresh));
+        onMembersChanged();
         m_log.write("settings reloaded", { { "file", m_settingsFile }, { "seeds", std::to_string(fresh.seeds.size()) } }, now);
     } catch (const Error &error) {
         m_log.write("settings kept", { { "file", m_settingsFile }, { "reason", error.what() }, { "remedy", error.remedy() } }, now);
     }
 }
 
+void GatewayDaemon::reloadWhenChanged()
+{
+    const auto written = writtenAt(m_settingsFile);
+    if (written != m_settingsWritten && written != std::filesystem::file_time_type::min()) {
+        reload();
+    }
+}
+
 void GatewayDaemon::beginShutdown()
 {
     m_isDraining = true;
@@ -352,6 +384,7 @@
     m_targetClient.closeExpired();
     m_peerClient.closeExpired();
     m_pieces.logBacklog();
+    reloadWhenChanged();
     m_log.flush(now);
     m_houseTimer.expires_after(HOUSE_INTERVAL);
     m_houseTimer.async_wait([this](const boost::system::error_code &error) {
--- a/src/app/gateway/gatewaydaemon.h
+++ b/src/app/gateway/gatewaydaemon.h
@@ -7,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <settings/settings.h>
 
+#include <filesystem>
 #include <memory>
 #include <string>
 
@@ -41,6 +42,7 @@
     bool isReady() const;
     void waitForSignal();
     void reload();
+    void reloadWhenChanged();
     void beginShutdown();
     void finishShutdownWhenIdle();
     void answerWhatIsLeft();
@@ -48,6 +50,7 @@
     void housekeep();
 
     std::string m_settingsFile;
+    std::filesystem::file_time_type m_settingsWritten; ///< of the file as it was last read
     Settings::GatewaySettings m_settings;
     const Gateway::PlatformPort &m_port;
     boost::asio::io_context m_context { 1 };
--- a/src/libs/gateway/retrybudget.cpp
+++ b/src/libs/gateway/retrybudget.cpp
@@ -15,6 +15,11 @@
 {
 }
 
+void RetryBudget::setLimits(RetryLimits limits)
+{
+    m_limits = limits;
+}
+
 void RetryBudget::noteRequest(const ServiceName &service, MonotonicTime now)
 {
     usage(service).requests.add(now);
--- a/src/libs/gateway/retrybudget.h
+++ b/src/libs/gateway/retrybudget.h
@@ -24,6 +24,9 @@
 public:
     explicit RetryBudget(RetryLimits limits);
 
+    /** Services that are known keep the window that they have. */
+    void setLimits(RetryLimits limits);
+
     void noteRequest(const ServiceName &service, MonotonicTime now);
     /** Takes one repeat out of the budget. @param vms daemons that may share it */
     bool take(const ServiceName &service, int vms, MonotonicTime now);
--- a/src/libs/gateway/targetbook.cpp
+++ b/src/libs/gateway/targetbook.cpp
@@ -69,6 +69,11 @@
     }
 }
 
+void TargetBook::setColdLimits(ColdLimits limits)
+{
+    m_coldLimits = limits;
+}
+
 void TargetBook::setVms(int vms)
 {
     m_vms = std::max(vms, 1);
--- a/src/libs/gateway/targetbook.h
+++ b/src/libs/gateway/targetbook.h
@@ -60,6 +60,7 @@
     void remove(const TargetId &id);
     void setDomainOut(const FailureDomain &domain, bool out);
     void setServices(const std::vector<Service> &services);
+    void setColdLimits(ColdLimits limits);
     /** Daemons that share the cold targets. */
     void setVms(int vms);
 
