--- a/tests/demo/demo.sh
+++ b/tests/demo/demo.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Starts a platform, targets and three daemons on loopback, sends a plain and a streamed request, shows the status.
+# Starts a platform, targets and three daemons on loopback, sends a plain and a streamed request, shows the status; then
+# three gateways before the users' kind of targets, with a staged stream.
 set -euo pipefail
 root=$(cd "$(dirname "$0")/../.." && pwd)
 build=$(cd "$1" && pwd)
@@ -55,7 +56,9 @@
 done
 printf ']}' >>"$work/targets.json"
 
-base=$((20000 + RANDOM % 20000))
+# Below the range that the system gives to connections of clients, so that none of them holds a daemon's port.
+client_ports=$(cut -f 1 /proc/sys/net/ipv4/ip_local_port_range)
+base=$((10000 + RANDOM % (client_ports - 10000 - 30)))
 separator=
 printf '{"vms": [' >"$work/vms.json"
 index=0
@@ -108,3 +111,5 @@
     -H 'Authorization: Bearer demo-token' -H 'Accept: text/event-stream' -d '{"prompt": "review dossier 7"}'
 echo "== status of vm-0"
 "$build/src/tools/cassiarelay/cassiarelay" --settings "$work/daemon-0.json" status
+echo "== staged stream through a gateway"
+python3 "$root/tests/demo/gateway_demo.py" --build "$build"
--- a/tests/scenarios/callers.py
+++ b/tests/scenarios/callers.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from fleet import TOKEN, http_json
+from fleet import CALL_LIMIT_S, TOKEN, http_json
 
 READINESS_INTERVAL_S = 0.1
 
@@ -46,7 +46,7 @@
         self._stop = threading.Event()
         self._lock = threading.Lock()
         self._ready = []
-        self.counts = {"answered": 0, "refused": 0, "cut": 0, "wrong": 0, "unreached": 0}
+        self.counts = {"answered": 0, "refused": 0, "cut": 0, "failed": 0, "wrong": 0, "unreached": 0}
         self.examples = []
         self._threads = [threading.Thread(target=run, daemon=True) for run in (self._watch, self._send)]
         self._calls = []
@@ -84,28 +84,35 @@
     def _call(self, vm, number):
         ending = "cut"
         detail = ""
-        connection = http.client.HTTPConnection("127.0.0.1", vm.caller_port, timeout=15)
+        connection = self._connection(vm)
         try:
             try:
                 connection.connect()
             except OSError:
                 ending = "unreached"
                 return
-            prompt = f"load {number}"
-            connection.request("POST", f"/v1/pipelines/{self._pipeline}", json.dumps({"prompt": prompt}),
-                               {"Authorization": f"Bearer {TOKEN}", "Accept": "text/event-stream"})
-            response = connection.getresponse()
-            text = response.read().decode()
-            ending = self._judge(response.status, text, prompt)
-            detail = text[-300:]
+            ending, detail = self._exchange(connection, number)
         except (OSError, http.client.HTTPException) as failure:
-            detail = f"{vm.name}: {failure!r}"
+            detail = repr(failure)
         finally:
             connection.close()
             with self._lock:
                 self.counts[ending] += 1
-                if ending in ("cut", "wrong"):
-                    self.examples.append(f"{vm.name} request {number} {ending}: {detail}")
+                if ending in ("cut", "wrong", "failed"):
+                    self.examples.append(f"{vm.name} request {number} {ending}: {detail[-300:]}")
+
+    @staticmethod
+    def _connection(vm):
+        return http.client.HTTPConnection("127.0.0.1", vm.caller_port, timeout=CALL_LIMIT_S)
+
+    def _exchange(self, connection, number):
+        """Returns how the call ended, and what to show of it."""
+        prompt = f"load {number}"
+        connection.request("POST", f"/v1/pipelines/{self._pipeline}", json.dumps({"prompt": prompt}),
+                           {"Authorization": f"Bearer {TOKEN}", "Accept": "text/event-stream"})
+        response = connection.getresponse()
+        text = response.read().decode()
+        return self._judge(response.status, text, prompt), text
 
     @staticmethod
     def _judge(status, text, prompt):
--- a/tests/scenarios/fleet.py
+++ b/tests/scenarios/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,11 +17,13 @@
 DOMAINS = ("medina", "hann", "ouakam")
 READY_LIMIT_S = 30
 CALL_LIMIT_S = 15
+FIRST_PORT = 10000  # those below belong to well-known services
+given_ports = set()
 
 
-def http_json(port, method, path, body=None, headers=None, timeout=CALL_LIMIT_S):
+def http_json(port, method, path, body=None, headers=None, timeout=CALL_LIMIT_S, address="127.0.0.1"):
     """Returns (status, parsed body or text)."""
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    connection = http.client.HTTPConnection(address, port, timeout=timeout)
     try:
         connection.request(method, path, body, headers or {})
         response = connection.getresponse()
@@ -33,10 +36,25 @@
         connection.close()
 
 
+def client_ports():
+    """First port of the range that the system gives to connections of clients."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as settings:
+        return int(settings.read().split()[0])
+
+
 def free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+    """A port that no client's connection can take before the process that is to listen on it has started."""
+    while True:
+        port = random.randrange(FIRST_PORT, client_ports())
+        if port in given_ports:
+            continue
+        with socket.socket() as listener:
+            try:
+                listener.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        given_ports.add(port)
+        return port
 
 
 def wait_until(condition, what, limit_s=READY_LIMIT_S):
--- /dev/null
+++ b/tests/scenarios/gateways.py
@@ -0,0 +1,241 @@
+"""Gateways on loopback before targets of the users' kind, and callers of their routes."""
+
+import http.client
+import itertools
+import json
+import random
+import re
+import threading
+
+from callers import SteadyLoad
+from fleet import CALL_LIMIT_S, DOMAINS, Fleet, http_json
+
+HOST = "desk.example"
+KEY = "scenario-caller-key"
+ORGANISATION = "crewing-agency"
+PATIENCE_MS = 10000
+REGION = "cap-vert"
+EVENTS = 16
+ROUTES = [
+    {"name": "draft", "prefix": "/draft/", "service": "engine", "kind": "stream", "timeoutMs": 10000, "targetLatencyMs": 2000,
+     "priority": 0, "maxAttempts": 2, "resumable": True, "gapAimMs": 500, "stages": [
+         {"service": "encode", "after": [], "bytes": 1000},
+         {"service": "retrieve", "after": [0], "bytes": 1000}]},
+    {"name": "book", "prefix": "/book/", "service": "desk", "kind": "unsafe", "timeoutMs": 8000, "targetLatencyMs": 300,
+     "priority": 0, "maxAttempts": 2},
+    {"name": "look", "prefix": "/look/", "service": "desk", "kind": "safe", "timeoutMs": 8000, "targetLatencyMs": 300,
+     "priority": 1, "maxAttempts": 2},
+]
+UNSAFE_ROUTES = {route["name"] for route in ROUTES if route["kind"] == "unsafe"}
+PIECES = {"slots": 1, "queue": 1, "batch": 8, "callMs": 20, "itemMs": 1, "headroomMb": 10, "handleS": 10, "linkMbps": 1000}
+SERVICES = [{"name": "engine", "coldPerS": 5}, {"name": "desk", "coldPerS": 5},
+            {"name": "encode", "coldPerS": 5, "pieces": PIECES}, {"name": "retrieve", "coldPerS": 5, "pieces": PIECES}]
+PIECES_WANTED = {"draft": "2,3"}
+TARGET_OPTIONS = {"engine": ("--streams", "--tokens", EVENTS), "desk": (),
+                  "encode": ("--capacity", 1, "--queue", 1, "--service-ms", 20, "--item-ms", 1),
+                  "retrieve": ("--capacity", 1, "--queue", 1, "--service-ms", 20, "--item-ms", 1)}
+
+
+def render(template, fields):
+    """Fills in a settings template: values, JSON, and sections over lists and tables."""
+    def lookup(name, scope):
+        if name == ".":
+            return scope[0]["."]
+        if name == "@":
+            return scope[0]["@"]
+        for layer in scope:
+            value = layer
+            for part in name.split("."):
+                value = value.get(part) if isinstance(value, dict) else None
+            if value is not None:
+                return value
+        return None
+
+    def entries(value):
+        pairs = list(value.items()) if isinstance(value, dict) else list(enumerate(value))
+        for index, (key, entry) in enumerate(pairs):
+            yield {".": entry, "@": key, ",": index + 1 < len(pairs), **(entry if isinstance(entry, dict) else {})}
+
+    def expand(text, scope):
+        def section(match):
+            return "".join(expand(match[2], [layer, *scope]) for layer in entries(lookup(match[1], scope) or []))
+
+        def value(match):
+            if match[1] == ",":
+                return "," if scope[0][","] else ""
+            name, _, form = match[1].partition("|")
+            found = lookup(name, scope)
+            if form == "json":
+                return json.dumps(found)
+            return "" if found is None else str(found)
+
+        text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, text, flags=re.S)
+        return re.sub(r"\{\{([^}]+)\}\}", value, text)
+
+    return expand(template, [fields])
+
+
+class Gateway:
+    """One daemon. It has an address of its own, so that its ports are those of every VM and free."""
+
+    caller_port, ready_port, peer_port = 8600, 8601, 8602
+
+    def __init__(self, name, domain, address):
+        self.name = name
+        self.domain = domain
+        self.address = address
+        self.process = None
+
+    def endpoint(self, port):
+        return f"{self.address}:{port}"
+
+    def connection(self):
+        return http.client.HTTPConnection(self.address, self.caller_port, timeout=CALL_LIMIT_S)
+
+
+class GatewayFleet(Fleet):
+    """Fleet of gateways with the users' store; its targets publish themselves there."""
+
+    def __init__(self, build, work):
+        super().__init__(build, work)
+        self.version = 0
+        self.routes = [dict(route, host=HOST) for route in ROUTES]
+        self.withdrawn = []
+        self.keys = [KEY]
+        self.template = (self.build.parent / "platform/settings.template").read_text()
+
+    def put_item(self, key, document):
+        status, answer = http_json(self.platform_port, "PUT", f"/items/{key}", json.dumps(document))
+        assert status == 200, answer
+
+    def remove_item(self, key):
+        status, answer = http_json(self.platform_port, "DELETE", f"/items/{key}")
+        assert status == 200, answer
+
+    def publish_routes(self):
+        self.version += 1
+        self.put_item("op/config", {"version": self.version, "routes": self.routes, "services": SERVICES,
+                                    "tenants": [{"name": ORGANISATION, "apiKeys": self.keys}], "limits": {}})
+
+    def publish_target(self, target, state="ready"):
+        self.put_item("servers/" + target["target"], {
+            "service": target["pool"], "address": f"127.0.0.1:{target['port']}", "zone": target["failureDomain"], "version": "1",
+            "slots": 64, "state": state, "coldRemainingMs": 0, "seq": 1, "born": 1})
+
+    def remove_target(self, name):
+        self.remove_item(f"servers/{name}")
+
+    def take_domain_out(self, domain):
+        self.put_item(f"op/evacuate/{domain}", {})
+
+    def take_domain_back(self, domain):
+        self.remove_item(f"op/evacuate/{domain}")
+
+    def start_service(self, service, count, options=()):
+        self.start_targets(service, count, ("--instance", service, *TARGET_OPTIONS[service], *options))
+        for target in self.targets:
+            if target["pool"] == service:
+                self.publish_target(target)
+
+    def start_gateways(self, count):
+        network = f"127.{random.randrange(1, 255)}.{random.randrange(255)}"
+        for index in range(count):
+            self.vms[f"vm-{index}"] = Gateway(f"vm-{index}", DOMAINS[index % len(DOMAINS)], f"{network}.{index + 1}")
+        for vm in self.vms.values():
+            self.start_gateway(vm)
+        for vm in self.vms.values():
+            self.wait_ready(vm)
+
+    def start_gateway(self, vm):
+        path = self.write_settings(vm)
+        vm.process = self.start_process(vm.name, [self.build / "src/app/cassiarelayd/cassiarelayd", "--gateway", "--settings", path])
+
+    def write_settings(self, vm, shutdown_s=8):
+        """Renders the settings of a daemon from the template, as the platform does."""
+        seeds = [other.endpoint(other.peer_port) for other in list(self.vms.values())[:3]]
+        path = self.work / f"{vm.name}.json"
+        path.write_text(render(self.template, {
+            "node": vm.name, "region": REGION, "zone": vm.domain, "zones": {domain: REGION for domain in DOMAINS},
+            "listen": {"front": vm.endpoint(vm.caller_port), "ready": vm.endpoint(vm.ready_port), "control": vm.endpoint(vm.peer_port)},
+            "platform": {"address": f"127.0.0.1:{self.platform_port}"}, "seeds": seeds,
+            "bounds": {"graceS": shutdown_s, "retryBudgetRatio": 0.2, "budgetExtra": 50, "budgetWindowS": 10, "coldOver": 1.5, "coldSlack": 5}}))
+        return path
+
+    def is_ready(self, vm):
+        return vm.process.poll() is None and http_json(vm.ready_port, "GET", "/api/ready", address=vm.address)[0] == 200
+
+
+def send_routed(connection, route, request_id, prompt, key=KEY, patience_ms=PATIENCE_MS):
+    headers = {"Host": HOST, "X-Cassiarelay-Request-Id": request_id, "X-Cassiarelay-Deadline-Ms": str(patience_ms),
+               "Authorization": f"Bearer {key}"}
+    if route in PIECES_WANTED:
+        headers.update({"X-Cassiarelay-Pieces": PIECES_WANTED[route], "X-Cassiarelay-Piece-Key": "7c1e07a291bd",
+                        "X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": "100,16",
+                        "X-Cassiarelay-Prompt-Prefix": "5c1e07a2:80,91bd3f06:20"})
+    connection.request("POST", f"/{route}/x", json.dumps({"prompt": prompt}), headers)
+
+
+def judge(response, text, request_id, prompt):
+    """answered, refused (a promise that nothing ran), failed, or wrong."""
+    if response.status in (429, 503, 408, 421):
+        return "refused"
+    if response.status != 200:
+        return "failed"
+    stamped = response.getheader("X-Cassiarelay-Response-Stamp", "").endswith("." + request_id)
+    if response.getheader("Content-Type") == "text/event-stream":
+        ids = [int(number) for number in re.findall(r"^id: (\d+)$", text, flags=re.M)]
+        whole = ids == list(range(1, EVENTS + 1))
+    else:
+        whole = json.loads(text)["echo"] == prompt
+    return "answered" if stamped and whole else "wrong"
+
+
+class RoutedCall:
+    """One sending of a request in its own thread."""
+
+    def __init__(self, vm, route, request_id, key):
+        self.route = route
+        self.kind = None  # what judge() says, or lost when there was no whole answer
+        self.status = None
+        self.body = None
+        self._thread = threading.Thread(target=self._run, args=(vm, route, request_id, key), daemon=True)
+        self._thread.start()
+
+    def _run(self, vm, route, request_id, key):
+        connection = vm.connection()
+        try:
+            send_routed(connection, route, request_id, request_id, key)
+            response = connection.getresponse()
+            self.body = response.read().decode()
+            self.status = response.status
+            self.kind = judge(response, self.body, request_id, request_id)
+        except (OSError, http.client.HTTPException) as failure:
+            self.kind = "lost"
+            self.body = repr(failure)
+        finally:
+            connection.close()
+
+    def wait(self):
+        self._thread.join()
+        return self.kind
+
+
+class RoutedLoad(SteadyLoad):
+    """Requests of one route at a fixed rate to the gateways that are ready."""
+
+    numbers = itertools.count()
+
+    def __init__(self, fleet, route, rate):
+        self._prefix = f"load-{next(self.numbers)}-{route}"
+        super().__init__(fleet, route, rate)
+
+    @staticmethod
+    def _connection(vm):
+        return vm.connection()
+
+    def _exchange(self, connection, number):
+        request_id = f"{self._prefix}-{number}"
+        send_routed(connection, self._pipeline, request_id, request_id)
+        response = connection.getresponse()
+        text = response.read().decode()
+        return judge(response, text, request_id, request_id), f"{request_id} {response.status} {text}"
--- /dev/null
+++ b/tests/scenarios/gatewayscenario.py
@@ -0,0 +1,111 @@
+"""The verbs and conditions that only scenarios of gateways have."""
+
+import signal
+
+from fleet import http_json, wait_until
+from gateways import KEY, UNSAFE_ROUTES, RoutedCall, RoutedLoad
+from scenario import COMPARE, Scenario
+
+
+class GatewayScenario(Scenario):
+    """One run of a script with gateways before the users' kind of targets."""
+
+    # start platform | start service NAME COUNT OPTIONS... | start gateways COUNT | start load ROUTE RATE
+    def verb_start(self, what, *words):
+        if what == "platform":
+            self.fleet.start_platform()
+            self.fleet.publish_routes()
+        elif what == "service":
+            self.fleet.start_service(words[0], int(words[1]), words[2:])
+        elif what == "gateways":
+            self.fleet.start_gateways(int(words[0]))
+        elif what == "load":
+            self.load = RoutedLoad(self.fleet, words[0], float(words[1]))
+        else:
+            raise AssertionError(f"cannot start {what}")
+
+    # publish route-out NAME | route-in NAME | key-out KEY | key-in KEY | domain-out NAME | domain-in NAME | leaving TARGET | gone TARGET
+    def verb_publish(self, what, name):
+        if what == "route-out":
+            self.fleet.withdrawn = [route for route in self.fleet.routes if route["name"] == name]
+            self.fleet.routes = [route for route in self.fleet.routes if route["name"] != name]
+            self.fleet.publish_routes()
+        elif what == "route-in":
+            self.fleet.routes += [route for route in self.fleet.withdrawn if route["name"] == name]
+            self.fleet.publish_routes()
+        elif what == "key-out":
+            self.fleet.keys.remove(name)
+            self.fleet.publish_routes()
+        elif what == "key-in":
+            self.fleet.keys.append(name)
+            self.fleet.publish_routes()
+        elif what == "domain-out":
+            self.fleet.take_domain_out(name)
+        elif what == "domain-in":
+            self.fleet.take_domain_back(name)
+        elif what == "leaving":
+            self.fleet.publish_target(self.target(name), "draining")
+        elif what == "gone":
+            self.fleet.remove_target(name)
+        else:
+            raise AssertionError(f"cannot publish {what}")
+
+    def target(self, name):
+        return next(target for target in self.fleet.targets if target["target"] == name)
+
+    # send REQUEST ROUTE VM [KEY]
+    def verb_send(self, request, route, vm, key=KEY):
+        self.calls.setdefault(request, []).append(RoutedCall(self.fleet.vms[vm], route, request, key))
+
+    # shut-down VM: the process has to end by itself
+    def verb_shut_down(self, name):
+        vm = self.fleet.vms[name]
+        vm.process.send_signal(signal.SIGTERM)
+        wait_until(lambda: vm.process.poll() is not None, f"{name} has ended")
+        assert vm.process.returncode == 0, f"{name} ended with {vm.process.returncode}"
+
+    # rewrite-settings VM SHUTDOWN_S: the file changes without a signal
+    def verb_rewrite_settings(self, name, shutdown_s):
+        self.fleet.write_settings(self.fleet.vms[name], int(shutdown_s))
+
+    # restart VM: after it was killed or shut down
+    def verb_restart(self, name):
+        vm = self.fleet.vms[name]
+        self.fleet.start_gateway(vm)
+        self.fleet.wait_ready(vm)
+
+    # platform ok|slow|down|forget
+    def verb_platform(self, mode):
+        if mode == "forget":
+            http_json(self.fleet.platform_port, "POST", "/fault", '{"forget": true}')
+        else:
+            super().verb_platform(mode)
+
+    # at-most-once: nothing that may not be repeated has run twice, and nothing that was refused has run
+    def condition_at_most_once(self):
+        wrong = []
+        runs = self.fleet.runs()
+        for request, calls in self.calls.items():
+            kind = calls[-1].wait()
+            count = runs.get(request, 0)
+            if count > 1 and calls[-1].route in UNSAFE_ROUTES:
+                wrong.append(f"{request} ran {count} times")
+            if count > 0 and kind == "refused":
+                wrong.append(f"{request} was refused and ran")
+        return not wrong, wrong
+
+    # status REQUEST OPERATOR STATUS: of its last sending
+    def condition_status(self, request, operator, status):
+        call = self.calls[request][-1]
+        call.wait()
+        return COMPARE[operator](call.status, int(status)), call.status
+
+    # logged VM EVENT: the daemon has written a line of this event
+    def condition_logged(self, name, event):
+        lines = (self.fleet.work / f"{name}.out").read_text()
+        return f'event="{event}"' in lines or f"event={event} " in lines, "no such line"
+
+    # total FIGURE OPERATOR COUNT: a figure that targets tell, over all of them
+    def condition_total(self, figure, operator, count):
+        seen = sum(stats.get(figure, 0) for stats in self.fleet.target_stats())
+        return COMPARE[operator](seen, int(count)), seen
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -1,5 +1,6 @@
-// Stand-in for the platform's configuration service: GET with long poll, PUT, faults and read counts by the test.
-#include <net/net.h>
+// Stand-in for the platform: the configuration service of the pipelines' interface (GET with long poll, PUT) and the users'
+// store of the gateway. Faults and read counts by the test.
+#include "publishedstore.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -7,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <functional>
 #include <iostream>
 #include <list>
 #include <map>
@@ -52,6 +54,7 @@
 public:
     explicit Platform(boost::asio::io_context &context)
         : m_context(context)
+        , m_published(context)
     {
     }
 
@@ -67,6 +70,14 @@
             exchange->respond({ 200, "application/json", nlohmann::json { { "reads", m_reads } }.dump(), {} });
             return;
         }
+        if (StandIns::PublishedStore::isWrite(target)) {
+            m_published.write(exchange);
+            return;
+        }
+        if (StandIns::PublishedStore::isRead(target)) {
+            readWhenUp(exchange, [this, exchange] { m_published.read(exchange); });
+            return;
+        }
         if (target.compare(0, KEY_PATH.size(), KEY_PATH) != 0) {
             exchange->respond({ 404, "text/plain", "no such path\n", {} });
             return;
@@ -77,16 +88,22 @@
             put(key, request, exchange);
             return;
         }
-        read(key, query == std::string::npos ? std::string() : target.substr(query + 1), exchange);
+        const std::string parameters = query == std::string::npos ? std::string() : target.substr(query + 1);
+        readWhenUp(exchange, [this, key, parameters, exchange] { get(key, parameters, exchange); });
     }
 
 private:
     void setFault(const Net::HttpExchangePointer &exchange)
     {
         const nlohmann::json fault = nlohmann::json::parse(exchange->request().body(), nullptr, false);
+        if (fault.is_object() && fault.value("forget", false)) {
+            m_published.forgetHistory();
+            exchange->respond({ 200, "application/json", "{}", {} });
+            return;
+        }
         const auto mode = fault.is_object() ? MODES.find(fault.value("mode", "")) : MODES.end();
         if (mode == MODES.end()) {
-            exchange->respond({ STATUS_BAD_REQUEST, "text/plain", "mode is ok, stale, slow or down\n", {} });
+            exchange->respond({ STATUS_BAD_REQUEST, "text/plain", "mode is ok, stale, slow or down; forget is true\n", {} });
             return;
         }
         m_mode = mode->second;
@@ -99,13 +116,14 @@
 
     void cutWatchers()
     {
+        m_published.cutWatches();
         for (const Watcher &watcher : std::exchange(m_watchers, {})) {
             watcher.timer->cancel();
             watcher.exchange->abortAfterQueued();
         }
     }
 
-    void read(const std::string &key, const std::string &query, const Net::HttpExchangePointer &exchange)
+    void readWhenUp(const Net::HttpExchangePointer &exchange, std::function<void()> answer)
     {
         ++m_reads;
         if (m_mode == Mode::Down) {
@@ -113,11 +131,11 @@
             return;
         }
         if (m_mode != Mode::Slow) {
-            get(key, query, exchange);
+            answer();
             return;
         }
         auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_delay);
-        timer->async_wait([this, timer, key, query, exchange](const boost::system::error_code &) { get(key, query, exchange); });
+        timer->async_wait([timer, answer = std::move(answer)](const boost::system::error_code &) { answer(); });
     }
 
     Revision visible(const std::string &key) const
@@ -189,6 +207,7 @@
     }
 
     boost::asio::io_context &m_context;
+    StandIns::PublishedStore m_published;
     std::map<std::string, Entry> m_entries;
     std::list<Watcher> m_watchers;
     Mode m_mode = Mode::Ok;
--- /dev/null
+++ b/tests/standins/routeservice.cpp
@@ -0,0 +1,139 @@
+#include "routeservice.h"
+
+#include "eventwork.h"
+
+#include <boost/algorithm/string.hpp>
+
+namespace CassiaRelay::StandIns {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr unsigned STATUS_BAD_REQUEST = 400;
+constexpr unsigned STATUS_MISDIRECTED = 421;
+constexpr unsigned STATUS_BUSY = 503;
+
+// A handle names the request whose piece it holds, so that a mix-up shows.
+std::string requestOfHandle(const std::string &handle)
+{
+    const std::size_t start = handle.find('/') + 1;
+    return handle.substr(start, handle.find('.', start) - start);
+}
+
+} // namespace
+
+RouteService::RouteService(boost::asio::io_context &context, TargetOptions options, Enqueue enqueue)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_enqueue(std::move(enqueue))
+{
+}
+
+bool RouteService::turnsAway(const Net::HttpExchangePointer &exchange, const TargetLoad &load)
+{
+    const RouteCall call = readRouteCall(exchange->request());
+    if (call.expectedInstance.empty() || call.expectedInstance == m_options.instance) {
+        return false;
+    }
+    ++m_misdirected;
+    exchange->respond({ STATUS_MISDIRECTED, "text/plain", "another target\n", notRunFields(call, load) });
+    return true;
+}
+
+void RouteService::refuse(const Net::HttpExchangePointer &exchange, const TargetLoad &load) const
+{
+    exchange->respond({ STATUS_BUSY, "text/plain", "too busy\n", notRunFields(readRouteCall(exchange->request()), load) });
+}
+
+void RouteService::run(const Net::HttpExchangePointer &exchange, const std::string &path, const json &body, const TargetLoad &load)
+{
+    if (isStageCall(path)) {
+        runPieces(exchange, body.value("items", json::array()), load);
+    } else {
+        runRequest(exchange, path, body, load);
+    }
+}
+
+void RouteService::free(const Net::HttpExchangePointer &exchange, const json &body)
+{
+    for (const json &handle : body.value("handles", json::array())) {
+        m_results.erase(handle.get<std::string>());
+    }
+    exchange->respond({ 200, "application/json", "{}", {} });
+}
+
+void RouteService::dropResults()
+{
+    m_results.clear();
+}
+
+json RouteService::stats() const
+{
+    return { { "results", m_results.size() },
+             { "piecesMade", m_made },
+             { "stageCalls", m_calls },
+             { "wrongInputs", m_wrongInputs },
+             { "withoutDeadline", m_withoutDeadline },
+             { "misdirected", m_misdirected } };
+}
+
+void RouteService::runPieces(const Net::HttpExchangePointer &exchange, const json &items, const TargetLoad &load)
+{
+    ++m_calls;
+    const RouteCall call = readRouteCall(exchange->request());
+    const auto answer = [this, call, items, load](const Net::HttpExchangePointer &to, const std::string &) {
+        json results = json::array();
+        for (const json &item : items) {
+            results.push_back({ { "handle", makeResult(item) } });
+        }
+        to->respond({ 200, "application/json", json { { "items", results } }.dump(), runFields(call, m_options.instance, load) });
+    };
+    m_enqueue(std::make_shared<CallWork>(m_context, exchange, call.id, std::string(), answer), m_options.itemTime * items.size());
+}
+
+std::string RouteService::makeResult(const json &item)
+{
+    ++m_made;
+    const std::string request = item.value("id", "");
+    for (const json &input : item.value("inputs", json::array())) {
+        m_wrongInputs += requestOfHandle(input.get<std::string>()) == request ? 0 : 1;
+    }
+    const std::string piece = std::to_string(item.value("stage", 0)) + "." + std::to_string(item.value("piece", 0));
+    std::string handle = m_options.instance + "/" + request + "." + piece + "." + std::to_string(m_made);
+    m_results.insert(handle);
+    return handle;
+}
+
+bool RouteService::hasWrongInputs(const RouteCall &call) const
+{
+    const std::set<std::string> distinct(call.inputs.begin(), call.inputs.end());
+    if (distinct.size() != call.inputs.size() || (call.piecesWanted > 0 && call.inputs.empty())) {
+        return true;
+    }
+    return std::any_of(distinct.begin(), distinct.end(), [&call](const std::string &handle) { return requestOfHandle(handle) != call.id; });
+}
+
+void RouteService::runRequest(const Net::HttpExchangePointer &exchange, const std::string &path, const json &body, const TargetLoad &load)
+{
+    const RouteCall call = readRouteCall(exchange->request());
+    m_withoutDeadline += call.timeLeft ? 0 : 1;
+    if (hasWrongInputs(call)) {
+        ++m_wrongInputs;
+        exchange->respond({ STATUS_BAD_REQUEST, "text/plain", "inputs are missing or not of this request\n", notRunFields(call, load) });
+        return;
+    }
+    const std::vector<HttpField> fields = runFields(call, m_options.instance, load);
+    const std::string prompt = body.value("prompt", "");
+    if (m_options.streamsEvents) {
+        m_enqueue(std::make_shared<EventWork>(m_context, exchange, call.id, fields, prompt, call.lastEvent), m_options.prefillTime);
+        return;
+    }
+    const json answer = { { "path", path }, { "echo", prompt }, { "organisation", call.organisation } };
+    const auto respond = [fields](const Net::HttpExchangePointer &to, const std::string &text) {
+        to->respond({ 200, "application/json", text, fields });
+    };
+    m_enqueue(std::make_shared<CallWork>(m_context, exchange, call.id, answer.dump(), respond), std::chrono::milliseconds(0));
+}
+
+} // namespace CassiaRelay::StandIns
--- /dev/null
+++ b/tests/standins/routeservice.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "routecall.h"
+#include "targetoptions.h"
+#include "work.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <set>
+
+namespace CassiaRelay::StandIns {
+
+/** What a target of the users does with routed requests and calls for pieces. Results of other targets are taken to exist. */
+class RouteService
+{
+public:
+    using Enqueue = std::function<void(const std::shared_ptr<Work> &, std::chrono::milliseconds firstDelay)>;
+
+    RouteService(boost::asio::io_context &context, TargetOptions options, Enqueue enqueue);
+
+    /** Answers and returns true when the request is not for this target to run. */
+    bool turnsAway(const Net::HttpExchangePointer &exchange, const TargetLoad &load);
+    void refuse(const Net::HttpExchangePointer &exchange, const TargetLoad &load) const;
+    void run(const Net::HttpExchangePointer &exchange, const std::string &path, const nlohmann::json &body, const TargetLoad &load);
+    void free(const Net::HttpExchangePointer &exchange, const nlohmann::json &body);
+    /** The target has died: its results are gone. */
+    void dropResults();
+    nlohmann::json stats() const;
+
+private:
+    void runPieces(const Net::HttpExchangePointer &exchange, const nlohmann::json &items, const TargetLoad &load);
+    void runRequest(const Net::HttpExchangePointer &exchange, const std::string &path, const nlohmann::json &body, const TargetLoad &load);
+    std::string makeResult(const nlohmann::json &item);
+    bool hasWrongInputs(const RouteCall &call) const;
+
+    boost::asio::io_context &m_context;
+    TargetOptions m_options;
+    Enqueue m_enqueue;
+    std::set<std::string> m_results;
+    std::uint64_t m_made = 0;
+    std::uint64_t m_calls = 0;
+    std::uint64_t m_wrongInputs = 0;
+    std::uint64_t m_withoutDeadline = 0;
+    std::uint64_t m_misdirected = 0;
+};
+
+} // namespace CassiaRelay::StandIns
--- a/tests/standins/standintarget.cpp
+++ b/tests/standins/standintarget.cpp
@@ -51,6 +51,9 @@
     , m_cold(options.startsCold)
     , m_prefixes(options.prefixSlots)
 {
+    if (!m_options.instance.empty()) {
+        m_routes.emplace(context, m_options, [this](const WorkPointer &work, milliseconds firstDelay) { enqueue(work, firstDelay); });
+    }
     listen();
     sampleLoad();
 }
@@ -79,6 +82,8 @@
         exchange->abortAfterQueued();
     } else if (CONTROL_PATHS.count(path) > 0) {
         control(exchange, path, body);
+    } else if (m_routes) {
+        routedWork(exchange, path, body);
     } else {
         work(exchange, path, body);
     }
@@ -144,6 +149,33 @@
             milliseconds(0));
 }
 
+void StandInTarget::routedWork(const Net::HttpExchangePointer &exchange, const std::string &path, const json &body)
+{
+    if (isStageFree(path)) {
+        m_routes->free(exchange, body);
+        return;
+    }
+    if (m_routes->turnsAway(exchange, load()) || refuses(exchange, body)) {
+        return;
+    }
+    ++m_totals.attempts;
+    m_lastAttempt = std::chrono::system_clock::now();
+    if (!isStageCall(path)) {
+        ++m_runs[readRouteCall(exchange->request()).id];
+    }
+    m_routes->run(exchange, path, body, load());
+}
+
+void StandInTarget::refuseBusy(const Net::HttpExchangePointer &exchange)
+{
+    ++m_totals.refused;
+    if (m_routes) {
+        m_routes->refuse(exchange, load());
+        return;
+    }
+    exchange->respond(jsonResponse({ { "error", "too busy" } }, STATUS_BUSY));
+}
+
 bool StandInTarget::refuses(const Net::HttpExchangePointer &exchange, const json &body)
 {
     if (body.dump().find(KILLER_MARKER) != std::string::npos) {
@@ -162,9 +194,9 @@
             return true;
         }
     }
-    if (overrun || m_faults.refuse) {
-        ++m_totals.refused;
-        exchange->respond(jsonResponse({ { "error", "too busy" } }, STATUS_BUSY));
+    const bool isFull = concurrency() >= m_options.capacity + m_options.queue;
+    if (overrun || isFull || m_faults.refuse) {
+        refuseBusy(exchange);
         return true;
     }
     return false;
@@ -297,6 +329,9 @@
     m_alive = false;
     ++m_totals.deaths;
     m_servers.back()->stop();
+    if (m_routes) {
+        m_routes->dropResults();
+    }
     for (const auto &[work, firstDelay] : std::exchange(m_waiting, {})) {
         work->cut();
     }
@@ -333,7 +368,7 @@
 json StandInTarget::stats() const
 {
     const auto lastAttempt = std::chrono::duration_cast<milliseconds>(m_lastAttempt.time_since_epoch());
-    return {
+    json stats = {
         { "attempts", m_totals.attempts },
         { "refused", m_totals.refused },
         { "finished", m_totals.finished },
@@ -351,6 +386,10 @@
         { "incarnation", m_incarnation },
         { "lastAttemptMs", lastAttempt.count() },
     };
+    if (m_routes) {
+        stats.update(m_routes->stats());
+    }
+    return stats;
 }
 
 int StandInTarget::concurrency() const
@@ -358,4 +397,9 @@
     return static_cast<int>(m_running.size() + m_waiting.size());
 }
 
+TargetLoad StandInTarget::load() const
+{
+    return { m_running.size(), m_waiting.size(), m_options.capacity };
+}
+
 } // namespace CassiaRelay::StandIns
--- a/tests/standins/standintarget.h
+++ b/tests/standins/standintarget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "prefixcache.h"
+#include "routeservice.h"
 #include "targetoptions.h"
 #include "work.h"
 
@@ -28,6 +29,8 @@
     void handle(const Net::HttpExchangePointer &exchange);
     void control(const Net::HttpExchangePointer &exchange, const std::string &path, const nlohmann::json &body);
     void work(const Net::HttpExchangePointer &exchange, const std::string &path, const nlohmann::json &body);
+    void routedWork(const Net::HttpExchangePointer &exchange, const std::string &path, const nlohmann::json &body);
+    void refuseBusy(const Net::HttpExchangePointer &exchange);
     bool refuses(const Net::HttpExchangePointer &exchange, const nlohmann::json &body);
     void enqueue(const WorkPointer &work, std::chrono::milliseconds firstDelay);
     void abandon(const WorkPointer &work);
@@ -43,6 +46,7 @@
     void sampleLoad();
     nlohmann::json stats() const;
     int concurrency() const;
+    TargetLoad load() const;
 
     boost::asio::io_context &m_context;
     TargetOptions m_options;
@@ -60,6 +64,7 @@
     std::set<WorkPointer> m_running;
     std::deque<std::pair<WorkPointer, std::chrono::milliseconds>> m_waiting;
     std::map<std::string, std::uint64_t> m_runs;
+    std::optional<RouteService> m_routes;                          ///< of targets that serve routes of the users
     std::pair<Net::HttpExchangePointer, std::string> m_heldAnswer; ///< of the crossed fault
     std::int64_t m_highestFence = 0;
     nlohmann::json m_orders = nlohmann::json::array();
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -31,11 +31,15 @@
         "cold-bound", options::value<int>()->default_value(1), "concurrent work that a cold target bears")(
         "warm-after", options::value<int>()->default_value(8), "successes until a cold target is warm")("cold-start", "starts cold")(
         "overload-dies", "a cold target dies above its bound instead of answering 503")("checks-fencing",
-                                                                                        "refuses orders with an old fencing number");
+                                                                                        "refuses orders with an old fencing number")(
+        "instance", options::value<std::string>()->default_value(""), "serve routes of the users as NAME-0, NAME-1, ...")(
+        "streams",
+        "answers of routes are streams of events")("item-ms", options::value<int>()->default_value(0), "time of each piece of a call")(
+        "queue", options::value<int>()->default_value(TargetOptions {}.queue), "work that may wait");
     return description;
 }
 
-TargetOptions toTargetOptions(const options::variables_map &arguments)
+TargetOptions toTargetOptions(const options::variables_map &arguments, int index)
 {
     TargetOptions target;
     target.serviceTime = milliseconds(arguments["service-ms"].as<int>());
@@ -52,6 +56,11 @@
     target.startsCold = arguments.count("cold-start") > 0;
     target.overload = arguments.count("overload-dies") > 0 ? StandIns::Overload::Die : StandIns::Overload::Refuse;
     target.checksFencing = arguments.count("checks-fencing") > 0;
+    const std::string instance = arguments["instance"].as<std::string>();
+    target.instance = instance.empty() ? std::string() : instance + "-" + std::to_string(index);
+    target.streamsEvents = arguments.count("streams") > 0;
+    target.itemTime = milliseconds(arguments["item-ms"].as<int>());
+    target.queue = arguments["queue"].as<int>();
     return target;
 }
 
@@ -67,7 +76,7 @@
     for (int index = 0; index < arguments["count"].as<int>(); ++index) {
         const auto port = static_cast<std::uint16_t>(firstPort == 0 ? 0 : firstPort + index);
         targets.push_back(
-            std::make_unique<StandIns::StandInTarget>(context, toTargetOptions(arguments), port, static_cast<std::uint64_t>(index)));
+            std::make_unique<StandIns::StandInTarget>(context, toTargetOptions(arguments, index), port, static_cast<std::uint64_t>(index)));
         std::cout << targets.back()->port() << std::endl;
     }
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
--- a/tests/standins/targetoptions.h
+++ b/tests/standins/targetoptions.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace CassiaRelay::StandIns {
 
@@ -27,6 +28,10 @@
     bool startsCold = false;
     Overload overload = Overload::Refuse;
     bool checksFencing = false;
+    std::string instance;                     ///< set: it serves routes of the users and answers as this instance
+    bool streamsEvents = false;               ///< answers of routes are streams of events
+    std::chrono::milliseconds itemTime { 0 }; ///< added to the time of a call for each piece
+    int queue = 10000;                        ///< work that may wait; more is turned away
 };
 
 /** Faults that a test switches on and off. */
--- a/tests/standins/work.cpp
+++ b/tests/standins/work.cpp
@@ -75,7 +75,7 @@
 
 void CallWork::run()
 {
-    after(m_settings.options.serviceTime * m_settings.faults.slowFactor, [this] {
+    after((m_settings.firstDelay + m_settings.options.serviceTime) * m_settings.faults.slowFactor, [this] {
         m_handler(exchange(), m_answer);
         end(WorkEnd::Finished);
     });
