Tell the cell of a lost target at once, and take it back when the target lives

The confirmation is the target's next load report: 300 ms restart + up to 625 ms between polls + up to 100 ms age of the report = 1,025 ms, and the callers come back through another daemon after 1,000 ms. On a busy machine each of three daemons lost its two targets. Besides, a target lost before its first report was never confirmed. Ruled out: several deaths of one target for one request (the stand-in counts one), fingerprints that differ between daemons.

A loss is now told as it happens (ReportLoss) and retracted when the same process answers later (RetractLoss). Tests: twoLossesQuarantineBeforeTheyAreConfirmed asks for the report at the loss instead of at the confirmation, and that it is told once; killingRequestLosesTwoTargetsAtMost likewise; lossOnALivingTargetIsRetractedInTheCell is new. The first two failed before. Conclusion: the race of the scenario is gone by construction; the failure itself was not seen again before the change.

--- a/src/app/cassiarelayd/celladapter.cpp
+++ b/src/app/cassiarelayd/celladapter.cpp
@@ -14,7 +14,8 @@
     link.returnPermit = [&control](const Routing::ReturnPermit &permit) {
         control.returnPermit(permit.work, permit.target, permit.succeeded);
     };
-    link.reportDeath = [&control](const Routing::ReportDeath &report) { control.reportDeath(report.fingerprint, report.target); };
+    link.reportLoss = [&control](const Routing::ReportLoss &report) { control.reportLoss(report.fingerprint, report.target); };
+    link.retractLoss = [&control](const Routing::RetractLoss &report) { control.retractLoss(report.fingerprint, report.target); };
     link.reportSurvived = [&control](const Routing::ReportSurvived &report) { control.reportSurvived(report.fingerprint); };
     return link;
 }
--- a/src/app/cassiarelayd/controlplane.cpp
+++ b/src/app/cassiarelayd/controlplane.cpp
@@ -123,9 +123,14 @@
     post([work, target, succeeded](Fleet::FleetNode &node, MonotonicTime now) { return node.returnPermit(work, target, succeeded, now); });
 }
 
-void ControlPlane::reportDeath(Fingerprint fingerprint, const TargetId &target)
+void ControlPlane::reportLoss(Fingerprint fingerprint, const TargetId &target)
 {
-    post([fingerprint, target](Fleet::FleetNode &node, MonotonicTime now) { return node.reportDeath(fingerprint, target, now); });
+    post([fingerprint, target](Fleet::FleetNode &node, MonotonicTime now) { return node.reportLoss(fingerprint, target, now); });
+}
+
+void ControlPlane::retractLoss(Fingerprint fingerprint, const TargetId &target)
+{
+    post([fingerprint, target](Fleet::FleetNode &node, MonotonicTime now) { return node.retractLoss(fingerprint, target, now); });
 }
 
 void ControlPlane::reportSurvived(Fingerprint fingerprint)
--- a/src/app/cassiarelayd/controlplane.h
+++ b/src/app/cassiarelayd/controlplane.h
@@ -48,7 +48,8 @@
     /** From any thread. */
     void returnPermit(WorkId work, const TargetId &target, bool succeeded);
     /** From any thread. */
-    void reportDeath(Fingerprint fingerprint, const TargetId &target);
+    void reportLoss(Fingerprint fingerprint, const TargetId &target);
+    void retractLoss(Fingerprint fingerprint, const TargetId &target);
     /** From any thread. */
     void reportSurvived(Fingerprint fingerprint);
 
--- a/src/app/cassiarelayd/workrouter.cpp
+++ b/src/app/cassiarelayd/workrouter.cpp
@@ -124,9 +124,14 @@
     m_cell.returnPermit(permit);
 }
 
-void WorkRouter::perform(const Routing::ReportDeath &report)
+void WorkRouter::perform(const Routing::ReportLoss &report)
 {
-    m_cell.reportDeath(report);
+    m_cell.reportLoss(report);
+}
+
+void WorkRouter::perform(const Routing::RetractLoss &report)
+{
+    m_cell.retractLoss(report);
 }
 
 void WorkRouter::perform(const Routing::ReportSurvived &report)
--- a/src/app/cassiarelayd/workrouter.h
+++ b/src/app/cassiarelayd/workrouter.h
@@ -22,7 +22,8 @@
 struct CellLink {
     std::function<void(const Routing::NeedPermit &)> requestPermit;
     std::function<void(const Routing::ReturnPermit &)> returnPermit;
-    std::function<void(const Routing::ReportDeath &)> reportDeath;
+    std::function<void(const Routing::ReportLoss &)> reportLoss;
+    std::function<void(const Routing::RetractLoss &)> retractLoss;
     std::function<void(const Routing::ReportSurvived &)> reportSurvived;
 };
 
@@ -55,7 +56,8 @@
     void perform(const Routing::Reject &reject);
     void perform(const Routing::NeedPermit &need);
     void perform(const Routing::ReturnPermit &permit);
-    void perform(const Routing::ReportDeath &report);
+    void perform(const Routing::ReportLoss &report);
+    void perform(const Routing::RetractLoss &report);
     void perform(const Routing::ReportSurvived &report);
     std::shared_ptr<WorkOwner> ownerOf(WorkId work);
 
--- a/src/libs/fleet/fleetnode.cpp
+++ b/src/libs/fleet/fleetnode.cpp
@@ -227,9 +227,14 @@
     m_demand.setOwn(std::move(demand));
 }
 
-Outputs FleetNode::reportDeath(Fingerprint fingerprint, const TargetId &target, MonotonicTime now)
+Outputs FleetNode::reportLoss(Fingerprint fingerprint, const TargetId &target, MonotonicTime now)
 {
-    return route(m_quarantine.reportDeath(fingerprint, target, m_membership.members(), now), now);
+    return route(m_quarantine.reportLoss(fingerprint, target, m_membership.members(), now), now);
+}
+
+Outputs FleetNode::retractLoss(Fingerprint fingerprint, const TargetId &target, MonotonicTime now)
+{
+    return route(m_quarantine.retractLoss(fingerprint, target, m_membership.members(), now), now);
 }
 
 Outputs FleetNode::reportSurvived(Fingerprint fingerprint, MonotonicTime now)
--- a/src/libs/fleet/fleetnode.h
+++ b/src/libs/fleet/fleetnode.h
@@ -51,8 +51,10 @@
 
     void setDemand(std::vector<PoolDemand> demand);
 
-    /** The target died while it ran a request with this fingerprint. */
-    Outputs reportDeath(Fingerprint fingerprint, const TargetId &target, MonotonicTime now);
+    /** The target was lost while it ran a request with this fingerprint. */
+    Outputs reportLoss(Fingerprint fingerprint, const TargetId &target, MonotonicTime now);
+    /** The target of a reported loss lives. */
+    Outputs retractLoss(Fingerprint fingerprint, const TargetId &target, MonotonicTime now);
     /** A request with this fingerprint ran to its end. */
     Outputs reportSurvived(Fingerprint fingerprint, MonotonicTime now);
 
--- a/src/libs/fleet/quarantine.cpp
+++ b/src/libs/fleet/quarantine.cpp
@@ -19,14 +19,22 @@
 
 } // namespace
 
-Outputs Quarantine::reportDeath(Fingerprint fingerprint, const TargetId &target, const Members &members, MonotonicTime now)
+Outputs Quarantine::reportLoss(Fingerprint fingerprint, const TargetId &target, const Members &members, MonotonicTime now)
 {
-    Schema::QuarantineReport death;
-    death.fingerprint = static_cast<std::int64_t>(fingerprint.value());
-    death.targets = { target.value() };
-    death.remainingMs = std::chrono::milliseconds(QUARANTINE_TIME).count();
-    Outputs outputs = onReport(death, now);
-    sendToAll(members, death, outputs);
+    Schema::QuarantineReport loss;
+    loss.fingerprint = static_cast<std::int64_t>(fingerprint.value());
+    loss.targets = { target.value() };
+    loss.remainingMs = std::chrono::milliseconds(QUARANTINE_TIME).count();
+    Outputs outputs = onReport(loss, now);
+    sendToAll(members, loss, outputs);
+    return outputs;
+}
+
+Outputs Quarantine::retractLoss(Fingerprint fingerprint, const TargetId &target, const Members &members, MonotonicTime now)
+{
+    const Schema::QuarantineReport retracted { static_cast<std::int64_t>(fingerprint.value()), 0, { target.value() } };
+    Outputs outputs = onReport(retracted, now);
+    sendToAll(members, retracted, outputs);
     return outputs;
 }
 
@@ -55,6 +63,9 @@
         m_entries.erase(found);
         return { QuarantineChanged { fingerprint, QuarantineState::Clear } };
     }
+    if (report.remainingMs <= 0) {
+        return onRetracted(fingerprint, report.targets);
+    }
     Entry &entry = m_entries[fingerprint];
     for (const std::string &target : report.targets) {
         entry.targets.insert(TargetId(target));
@@ -68,6 +79,24 @@
     return outputs;
 }
 
+Outputs Quarantine::onRetracted(Fingerprint fingerprint, const std::vector<std::string> &targets)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end()) {
+        return {};
+    }
+    const QuarantineState before = stateOf(found->second);
+    for (const std::string &target : targets) {
+        found->second.targets.erase(TargetId(target));
+    }
+    if (found->second.targets.empty()) {
+        m_entries.erase(found);
+        return { QuarantineChanged { fingerprint, QuarantineState::Clear } };
+    }
+    const QuarantineState after = stateOf(found->second);
+    return after == before ? Outputs {} : Outputs { QuarantineChanged { fingerprint, after } };
+}
+
 Outputs Quarantine::reportsFor(const VmId &vm, MonotonicTime now) const
 {
     Outputs outputs;
--- a/src/libs/fleet/quarantine.h
+++ b/src/libs/fleet/quarantine.h
@@ -6,11 +6,13 @@
 
 namespace CassiaRelay::Fleet {
 
-/** Request bodies with which targets have died, as the whole cell knows them. */
+/** Request bodies with which targets were lost, as the whole cell knows them. */
 class Quarantine
 {
 public:
-    Outputs reportDeath(Fingerprint fingerprint, const TargetId &target, const Members &members, MonotonicTime now);
+    Outputs reportLoss(Fingerprint fingerprint, const TargetId &target, const Members &members, MonotonicTime now);
+    /** The target of a reported loss lives. */
+    Outputs retractLoss(Fingerprint fingerprint, const TargetId &target, const Members &members, MonotonicTime now);
     /** Clears a suspect; a quarantined body stays so until its time is over. */
     Outputs reportSurvived(Fingerprint fingerprint, const Members &members, MonotonicTime now);
     Outputs onReport(const Schema::QuarantineReport &report, MonotonicTime now);
@@ -25,6 +27,7 @@
     };
 
     static QuarantineState stateOf(const Entry &entry);
+    Outputs onRetracted(Fingerprint fingerprint, const std::vector<std::string> &targets);
     Schema::QuarantineReport report(Fingerprint fingerprint, const Entry &entry, MonotonicTime now) const;
     void dropOldest(Outputs &outputs);
 
--- a/src/libs/routing/decision.h
+++ b/src/libs/routing/decision.h
@@ -37,8 +37,14 @@
     bool succeeded = false;
 };
 
-/** The target died while it ran a request with this fingerprint. */
-struct ReportDeath {
+/** The target was lost while it ran a request with this fingerprint; whether it died is not known yet. */
+struct ReportLoss {
+    Fingerprint fingerprint;
+    TargetId target;
+};
+
+/** The target of a reported loss lives: the loss had another reason. */
+struct RetractLoss {
     Fingerprint fingerprint;
     TargetId target;
 };
@@ -48,7 +54,7 @@
     Fingerprint fingerprint;
 };
 
-using Decision = std::variant<Assign, Reject, NeedPermit, ReturnPermit, ReportDeath, ReportSurvived>;
+using Decision = std::variant<Assign, Reject, NeedPermit, ReturnPermit, ReportLoss, RetractLoss, ReportSurvived>;
 using Decisions = std::vector<Decision>;
 
 /** What the cell knows of a request that was aboard a target that died. */
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -45,7 +45,7 @@
         m_unknownOrganisation.concurrency = m_settings->defaults().organisationConcurrency;
     }
     Decisions decisions;
-    updateTargets(decisions);
+    updateTargets();
     applyShares(sharesOfTargets(*m_table, m_shares));
     rebuildPools(now);
     for (auto &[name, pool] : m_pools) {
@@ -226,7 +226,7 @@
     TargetState &state = m_targets[found->second];
     state.reportedQueue = report.queued;
     if (state.observeIncarnation(report.incarnation)) {
-        append(decisions, m_quarantine.onTargetDead(target));
+        m_quarantine.onTargetDead(target);
     }
     if (report.cold) {
         state.markCold();
@@ -412,17 +412,17 @@
         state.lostAt = now;
         // Operators may end a target that they have taken out; that is no fault of its requests.
         if (state.isPublished && state.published.acceptsWork()) {
-            m_quarantine.onLost(placed.item.fingerprint, id, now);
+            append(decisions, m_quarantine.onLost(placed.item.fingerprint, id, now));
         }
     }
     if (outcome == AttemptOutcome::Unreachable) {
-        append(decisions, m_quarantine.onTargetDead(id));
+        m_quarantine.onTargetDead(id);
     }
     if (outcome != AttemptOutcome::Succeeded) {
         return;
     }
     if (placed.startedAt > state.lostAt) {
-        m_quarantine.onTargetAlive(id);
+        append(decisions, m_quarantine.onTargetAlive(id));
     }
     append(decisions, m_quarantine.onSucceeded(placed.item.fingerprint));
 }
@@ -443,7 +443,7 @@
     return milliseconds(std::uniform_int_distribution<std::int64_t>(base.count() / 2, base.count() * 3 / 2)(m_random));
 }
 
-void Dispatcher::updateTargets(Decisions &decisions)
+void Dispatcher::updateTargets()
 {
     for (TargetState &state : m_targets) {
         if (m_table->find(state.published.id) == nullptr) {
@@ -458,7 +458,7 @@
         TargetState &state = m_targets[entry->second];
         state.adopt(target);
         if (state.observeIncarnation(target.incarnation)) {
-            append(decisions, m_quarantine.onTargetDead(id));
+            m_quarantine.onTargetDead(id);
         }
     }
 }
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -71,7 +71,7 @@
     void observeHealth(const Placed &placed, AttemptOutcome outcome, Pool &pool, MonotonicTime now, Decisions &decisions);
     const Settings::OrganisationSettings &limitsOf(const OrganisationId &organisation) const;
     std::chrono::milliseconds jittered(Duration time);
-    void updateTargets(Decisions &decisions);
+    void updateTargets();
     void rebuildPools(MonotonicTime now);
     void applyShares(const std::unordered_map<TargetId, int> &shares);
 
--- a/src/libs/routing/quarantine.cpp
+++ b/src/libs/routing/quarantine.cpp
@@ -30,7 +30,7 @@
     return losses > 0 ? QuarantineState::Suspect : entry.cell;
 }
 
-void Quarantine::onLost(Fingerprint fingerprint, const TargetId &target, MonotonicTime now)
+Decisions Quarantine::onLost(Fingerprint fingerprint, const TargetId &target, MonotonicTime now)
 {
     if (m_entries.size() >= MAX_ENTRIES && m_entries.count(fingerprint) == 0) {
         forgetOldest();
@@ -38,42 +38,36 @@
     Entry &entry = m_entries[fingerprint];
     entry.updatedAt = now;
     if (std::find(entry.unconfirmed.begin(), entry.unconfirmed.end(), target) != entry.unconfirmed.end()) {
-        return;
+        return {};
     }
     entry.unconfirmed.push_back(target);
     m_lostOn[target].push_back(fingerprint);
+    return { ReportLoss { fingerprint, target } };
 }
 
-Decisions Quarantine::onTargetDead(const TargetId &target)
+void Quarantine::onTargetDead(const TargetId &target)
 {
-    Decisions decisions;
-    const auto lost = m_lostOn.find(target);
-    if (lost == m_lostOn.end()) {
-        return decisions;
+    for (const Fingerprint &fingerprint : takeUnconfirmed(target)) {
+        ++m_entries.at(fingerprint).deaths;
     }
-    for (const Fingerprint &fingerprint : lost->second) {
-        const auto found = m_entries.find(fingerprint);
-        if (found == m_entries.end()) {
-            continue;
-        }
-        auto &unconfirmed = found->second.unconfirmed;
-        const auto loss = std::find(unconfirmed.begin(), unconfirmed.end(), target);
-        if (loss == unconfirmed.end()) {
-            continue;
-        }
-        unconfirmed.erase(loss);
-        ++found->second.deaths;
-        decisions.push_back(ReportDeath { fingerprint, target });
+}
+
+Decisions Quarantine::onTargetAlive(const TargetId &target)
+{
+    Decisions decisions;
+    for (const Fingerprint &fingerprint : takeUnconfirmed(target)) {
+        decisions.push_back(RetractLoss { fingerprint, target });
     }
-    m_lostOn.erase(lost);
     return decisions;
 }
 
-void Quarantine::onTargetAlive(const TargetId &target)
+// Requests whose loss on the target is no longer unconfirmed after this.
+std::vector<Fingerprint> Quarantine::takeUnconfirmed(const TargetId &target)
 {
+    std::vector<Fingerprint> taken;
     const auto lost = m_lostOn.find(target);
     if (lost == m_lostOn.end()) {
-        return;
+        return taken;
     }
     for (const Fingerprint &fingerprint : lost->second) {
         const auto found = m_entries.find(fingerprint);
@@ -81,9 +75,15 @@
             continue;
         }
         auto &unconfirmed = found->second.unconfirmed;
-        unconfirmed.erase(std::remove(unconfirmed.begin(), unconfirmed.end(), target), unconfirmed.end());
+        const auto loss = std::find(unconfirmed.begin(), unconfirmed.end(), target);
+        if (loss == unconfirmed.end()) {
+            continue;
+        }
+        unconfirmed.erase(loss);
+        taken.push_back(fingerprint);
     }
     m_lostOn.erase(lost);
+    return taken;
 }
 
 Decisions Quarantine::onSucceeded(Fingerprint fingerprint)
--- a/src/libs/routing/quarantine.h
+++ b/src/libs/routing/quarantine.h
@@ -14,12 +14,12 @@
 {
 public:
     QuarantineState state(Fingerprint fingerprint, MonotonicTime now);
-    /** An attempt lost its connection while it ran on the target. */
-    void onLost(Fingerprint fingerprint, const TargetId &target, MonotonicTime now);
+    /** An attempt lost its connection while it ran on the target. The cell is told at once: the request may come next to another VM. */
+    Decisions onLost(Fingerprint fingerprint, const TargetId &target, MonotonicTime now);
     /** The target is dead, or a new process: what was lost with it stays counted. */
-    Decisions onTargetDead(const TargetId &target);
+    void onTargetDead(const TargetId &target);
     /** The target still runs: its losses had another reason. */
-    void onTargetAlive(const TargetId &target);
+    Decisions onTargetAlive(const TargetId &target);
     /** The request ended without harm to its target. */
     Decisions onSucceeded(Fingerprint fingerprint);
     void adopt(Fingerprint fingerprint, QuarantineState state, MonotonicTime now);
@@ -32,6 +32,7 @@
         MonotonicTime updatedAt;
     };
 
+    std::vector<Fingerprint> takeUnconfirmed(const TargetId &target);
     void forgetOldest();
 
     std::unordered_map<Fingerprint, Entry> m_entries;
