Make the pieces of a request where their large inputs lie, also in a crowd

A stage with large inputs now prefers the domain where they lie. A target takes first what prefers its domain or would be late otherwise, then the rest; a piece waits for its domain unless more wants that domain than its targets take with their next calls. Ruled out: waiting without the urgent ones' precedence, as a domain with one target would make its pieces late. Test: targetsOfACrowdTakeFirstWhatBelongsToTheirDomain (the load: every call full), which failed before.

--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -297,9 +297,7 @@
         order.usefulUntil = m_request.usefulUntil() - after;
         order.giveUpAt = m_request.endsAt() - after;
         order.resultBytes = m_plan.stage(stage).resultBytes;
-        if (order.resultBytes >= LARGE_INPUT_BYTES) {
-            order.preferredDomain = m_shared.targets.likelyDomain(need(), now);
-        }
+        order.preferredDomain = domainFor(stage, now);
         order.pieces = m_plan.pieces(stage);
         if (m_plan.stage(stage).after.empty()) {
             order.inputKey = m_request.inputKey;
@@ -447,15 +445,30 @@
     return need;
 }
 
-// Where most of the large results lie.
+// Large results are made near the target that will fetch them; a stage with large inputs runs where they lie, as each of its pieces
+// fetches all of them.
+std::optional<FailureDomain> RelayMachine::domainFor(std::size_t stage, MonotonicTime now)
+{
+    if (m_plan.stage(stage).resultBytes >= LARGE_INPUT_BYTES) {
+        return m_shared.targets.likelyDomain(need(), now);
+    }
+    return m_plan.bytesBefore(stage) >= LARGE_INPUT_BYTES ? domainOf(m_plan.resultsBefore(stage)) : std::nullopt;
+}
+
 std::optional<FailureDomain> RelayMachine::inputDomain() const
 {
     const std::optional<std::size_t> stage = m_plan.largestFinalStage();
     if (!stage || m_plan.stage(*stage).resultBytes < LARGE_INPUT_BYTES) {
         return std::nullopt;
     }
+    return domainOf(m_plan.finalResults());
+}
+
+// Where most of the results lie.
+std::optional<FailureDomain> RelayMachine::domainOf(const std::vector<StageResult> &results) const
+{
     std::map<FailureDomain, int> counts;
-    for (const StageResult &result : m_plan.finalResults()) {
+    for (const StageResult &result : results) {
         const std::optional<TargetRecord> maker = m_shared.targets.find(result.target);
         if (maker) {
             ++counts[maker->failureDomain];
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -82,7 +82,9 @@
     void send(RelayActions &actions, MonotonicTime now);
     void sendTo(const TargetRecord &target, RelayActions &actions, MonotonicTime now);
     TargetNeed need() const;
+    std::optional<FailureDomain> domainFor(std::size_t stage, MonotonicTime now);
     std::optional<FailureDomain> inputDomain() const;
+    std::optional<FailureDomain> domainOf(const std::vector<StageResult> &results) const;
     bool mayTryAnother(MonotonicTime now);
     void endAttempt(AttemptResult result, MonotonicTime now);
     void firstEvents(RelayActions &actions, MonotonicTime now);
--- a/src/libs/gateway/stageplan.cpp
+++ b/src/libs/gateway/stageplan.cpp
@@ -34,14 +34,32 @@
     return ready;
 }
 
-std::vector<std::string> StagePlan::inputs(std::size_t stage) const
+std::vector<StageResult> StagePlan::resultsBefore(std::size_t stage) const
 {
-    std::vector<std::string> handles;
+    std::vector<StageResult> results;
     for (const std::size_t before : m_stages.at(stage).route.after) {
         for (const std::optional<StageResult> &result : m_stages.at(before).results) {
-            handles.push_back(result->handle);
+            results.push_back(*result);
         }
     }
+    return results;
+}
+
+std::size_t StagePlan::bytesBefore(std::size_t stage) const
+{
+    std::size_t bytes = 0;
+    for (const std::size_t before : m_stages.at(stage).route.after) {
+        bytes += m_stages.at(before).route.resultBytes * m_stages.at(before).results.size();
+    }
+    return bytes;
+}
+
+std::vector<std::string> StagePlan::inputs(std::size_t stage) const
+{
+    std::vector<std::string> handles;
+    for (StageResult &result : resultsBefore(stage)) {
+        handles.push_back(std::move(result.handle));
+    }
     return handles;
 }
 
--- a/src/libs/gateway/stageplan.h
+++ b/src/libs/gateway/stageplan.h
@@ -18,6 +18,10 @@
     /** Stages that can start now; each is returned once. */
     std::vector<std::size_t> takeReady();
     /** Every result that the stage needs. */
+    /** Results of the stages that the stage follows. */
+    std::vector<StageResult> resultsBefore(std::size_t stage) const;
+    /** Bytes of those. */
+    std::size_t bytesBefore(std::size_t stage) const;
     std::vector<std::string> inputs(std::size_t stage) const;
     std::vector<int> pieces(std::size_t stage) const;
     void setResult(std::size_t stage, int piece, StageResult result);
--- a/src/libs/gateway/stagepool.cpp
+++ b/src/libs/gateway/stagepool.cpp
@@ -89,7 +89,7 @@
 {
     std::vector<StageCall> calls;
     for (const TargetRecord &target : freeTargets(targets, now)) {
-        std::vector<Waiting> batch = takeBatch(target, now);
+        std::vector<Waiting> batch = takeBatch(target, targets, now);
         if (batch.empty()) {
             continue;
         }
@@ -258,26 +258,48 @@
     std::stable_sort(m_waiting.begin(), m_waiting.end(), before);
 }
 
-// Large results are fetched by a target of the preferred domain; elsewhere they cross domains.
-bool StagePool::isWorthWaitingFor(const Waiting &piece, const FailureDomain &domain, MonotonicTime now) const
+// Domains whose targets can't take what prefers them with their next calls.
+std::set<FailureDomain> StagePool::crowdedDomains(const TargetBook &targets, MonotonicTime now) const
 {
-    if (!piece.preferredDomain || *piece.preferredDomain == domain) {
-        return false;
+    std::map<FailureDomain, std::size_t> capacity;
+    for (const TargetRecord &target : targets.usable(m_service, now)) {
+        capacity[target.failureDomain] += batchSize();
     }
-    const std::size_t batch = batchSize();
-    const bool isCrowded = m_waiting.size() > batch;
-    return !isCrowded && now + workTime(batch) * CALLS_TO_SPARE < piece.usefulUntil;
+    std::map<FailureDomain, std::size_t> wanted;
+    for (const Waiting &piece : m_waiting) {
+        if (piece.preferredDomain) {
+            ++wanted[*piece.preferredDomain];
+        }
+    }
+    std::set<FailureDomain> crowded;
+    for (const auto &[domain, pieces] : wanted) {
+        if (pieces > capacity[domain]) {
+            crowded.insert(domain);
+        }
+    }
+    return crowded;
 }
 
-std::vector<StagePool::Waiting> StagePool::takeBatch(const TargetRecord &target, MonotonicTime now)
+// Left for another call, it would be late.
+bool StagePool::isUrgent(const Waiting &piece, MonotonicTime now) const
+{
+    const bool isLate = now + nextCallTime() > piece.usefulUntil;
+    return !isLate && now + workTime(batchSize()) + workTime(1) > piece.usefulUntil;
+}
+
+// A target of its domain is free again within about one call.
+bool StagePool::waitsForItsDomain(const Waiting &piece, const std::set<FailureDomain> &crowded, MonotonicTime now) const
+{
+    return piece.preferredDomain && crowded.count(*piece.preferredDomain) == 0
+        && now + workTime(batchSize()) * CALLS_TO_SPARE < piece.usefulUntil;
+}
+
+template<typename Condition>
+void StagePool::moveIf(std::vector<Waiting> &batch, std::size_t &room, Condition condition)
 {
-    sortWaiting(now);
-    const std::size_t size = batchSize();
-    std::size_t room = m_room.freeBytes(target.id);
-    std::vector<Waiting> batch;
     std::vector<Waiting> left;
     for (Waiting &piece : m_waiting) {
-        if (batch.size() >= size || piece.resultBytes > room || isWorthWaitingFor(piece, target.failureDomain, now)) {
+        if (batch.size() >= batchSize() || piece.resultBytes > room || !condition(piece)) {
             left.push_back(std::move(piece));
             continue;
         }
@@ -285,6 +307,20 @@
         batch.push_back(std::move(piece));
     }
     m_waiting = std::move(left);
+}
+
+// What belongs to the target's domain, or can't wait, comes before what would move large inputs or results between domains.
+std::vector<StagePool::Waiting> StagePool::takeBatch(const TargetRecord &target, const TargetBook &targets, MonotonicTime now)
+{
+    sortWaiting(now);
+    const std::set<FailureDomain> crowded = crowdedDomains(targets, now);
+    const FailureDomain &domain = target.failureDomain;
+    std::size_t room = m_room.freeBytes(target.id);
+    std::vector<Waiting> batch;
+    moveIf(batch, room, [&](const Waiting &piece) {
+        return !piece.preferredDomain || *piece.preferredDomain == domain || isUrgent(piece, now);
+    });
+    moveIf(batch, room, [&](const Waiting &piece) { return !waitsForItsDomain(piece, crowded, now); });
     return batch;
 }
 
--- a/src/libs/gateway/stagepool.h
+++ b/src/libs/gateway/stagepool.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 
 namespace CassiaRelay::Gateway {
 
@@ -87,9 +88,13 @@
     std::size_t callCapacity(const TargetBook &targets, MonotonicTime now) const;
     Duration nextCallTime() const;
     Duration workTime(std::size_t pieces) const;
-    std::vector<Waiting> takeBatch(const TargetRecord &target, MonotonicTime now);
+    std::vector<Waiting> takeBatch(const TargetRecord &target, const TargetBook &targets, MonotonicTime now);
+    template<typename Condition>
+    void moveIf(std::vector<Waiting> &batch, std::size_t &room, Condition condition);
     void sortWaiting(MonotonicTime now);
-    bool isWorthWaitingFor(const Waiting &piece, const FailureDomain &domain, MonotonicTime now) const;
+    std::set<FailureDomain> crowdedDomains(const TargetBook &targets, MonotonicTime now) const;
+    bool isUrgent(const Waiting &piece, MonotonicTime now) const;
+    bool waitsForItsDomain(const Waiting &piece, const std::set<FailureDomain> &crowded, MonotonicTime now) const;
     std::vector<TargetRecord> freeTargets(const TargetBook &targets, MonotonicTime now) const;
     void retryOrEnd(Waiting piece, PieceFailure failure, std::vector<OrderProgress> &ends, MonotonicTime now);
 
--- a/tests/auto/gateway/tst_stagepool.cpp
+++ b/tests/auto/gateway/tst_stagepool.cpp
@@ -203,4 +203,30 @@
     BOOST_TEST(f.pool.dispatch(f.targets, START + milliseconds(1500)).size() == 1U);
 }
 
+// The load at which every call is full: results of 60 KB that each of the next pieces fetches.
+BOOST_AUTO_TEST_CASE(targetsOfACrowdTakeFirstWhatBelongsToTheirDomain)
+{
+    Fixture f;
+    for (int number = 0; number < 12; ++number) {
+        PieceOrder work = order("r" + std::to_string(number), 4);
+        work.preferredDomain = FailureDomain(number % 3 == 0 ? "b" : "a");
+        f.submit(OrderId(static_cast<std::uint64_t>(number)), work);
+    }
+    PieceOrder urgent = order("urgent", 1, 0, milliseconds(500));
+    urgent.preferredDomain = FailureDomain("b");
+    urgent.inputs = { "earlier/result" }; // not of a first stage, which would be turned away
+    f.submit(OrderId(20), urgent);
+    const std::vector<StageCall> calls = f.pool.dispatch(f.targets, START);
+    BOOST_REQUIRE_EQUAL(calls.size(), 2U);
+    for (const StageCall &call : calls) {
+        BOOST_TEST(call.items.size() == 10U);
+        for (const CallItem &item : call.items) {
+            const std::string request = item.piece.request.value();
+            const bool belongsToB = request != "urgent" && std::stoi(request.substr(1)) % 3 == 0;
+            BOOST_TEST((request == "urgent" || belongsToB == (call.target.failureDomain.value() == "b")));
+        }
+    }
+    BOOST_TEST(calls.front().items.front().piece.request.value() == "urgent");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scenarios/callers.py
+++ b/tests/scenarios/callers.py
@@ -93,7 +93,7 @@
                 return
             ending, detail = self._exchange(connection, number)
         except (OSError, http.client.HTTPException) as failure:
-            detail = repr(failure)
+            detail = f"{failure!r} {getattr(failure, 'partial', b'')!r}"
         finally:
             connection.close()
             with self._lock:
