Work the deadlines of stages back by the times that later stages take lately

Cause: a piece counted as punctual until the objective less the least time of the later stages, 249 ms a stage. The deadline of a stage now leaves what the later ones took lately (StageTimes, as the refusal at entry already did). Early stages so drop or put back what could not be punctual at the end, and the room for results goes to what can. Test: StageChain replays a chain of three stages whose second binds, in virtual time.

Callers of staged streams in a crowd are served better; those who can't be punctual are told earlier.

--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -288,14 +288,13 @@
 void RelayMachine::orderReadyStages(RelayActions &actions, MonotonicTime now)
 {
     for (const std::size_t stage : m_plan.takeReady()) {
-        const Duration after = workAfter(stage) + ENGINE_START;
         PieceOrder order;
         order.request = m_request.id;
         order.service = m_plan.stage(stage).service;
         order.stage = stage;
         order.rank = m_request.rank();
-        order.usefulUntil = m_request.usefulUntil() - after;
-        order.giveUpAt = m_request.endsAt() - after;
+        order.usefulUntil = m_request.usefulUntil() - expectedWorkAfter(stage, now) - ENGINE_START;
+        order.giveUpAt = m_request.endsAt() - workAfter(stage) - ENGINE_START;
         order.resultBytes = m_plan.stage(stage).resultBytes;
         order.preferredDomain = domainFor(stage, now);
         order.pieces = m_plan.pieces(stage);
@@ -341,6 +340,20 @@
     return longest;
 }
 
+Duration RelayMachine::expectedWorkAfter(std::size_t stage, MonotonicTime now) const
+{
+    Duration longest {};
+    for (std::size_t next = stage + 1; next < m_plan.size(); ++next) {
+        const RouteStage &follower = m_plan.stage(next);
+        if (std::find(follower.after.begin(), follower.after.end(), stage) == follower.after.end() || m_plan.pieces(next).empty()) {
+            continue;
+        }
+        const Duration taken = m_shared.stageTimes.expected(follower.service, m_request.rank(), leastTime(next), now);
+        longest = std::max(longest, taken + expectedWorkAfter(next, now));
+    }
+    return longest;
+}
+
 Duration RelayMachine::leastTime(std::size_t stage) const
 {
     const Service *service = m_request.table->service(m_plan.stage(stage).service);
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -76,6 +76,7 @@
     void orderReadyStages(RelayActions &actions, MonotonicTime now);
     void restartStages(RelayActions &actions, MonotonicTime now);
     Duration workAfter(std::size_t stage) const;
+    Duration expectedWorkAfter(std::size_t stage, MonotonicTime now) const;
     Duration leastTime(std::size_t stage) const;
     Duration expectedTime(std::size_t stage, MonotonicTime now) const;
     Duration expectedTimeOfStages(MonotonicTime now) const;
--- /dev/null
+++ b/tests/auto/gateway/stagechain.cpp
@@ -0,0 +1,207 @@
+#include "stagechain.h"
+
+#include <algorithm>
+
+namespace CassiaRelay::Gateway::Samples {
+
+namespace {
+
+constexpr std::size_t STAGES = 3;
+constexpr std::size_t BINDING_STAGE = 1;
+constexpr int TARGETS = 2;
+constexpr std::chrono::milliseconds STEP { 5 };
+constexpr std::chrono::milliseconds FIRST_EVENT { 100 };
+const std::vector<int> PIECES { 1, 4, 1 };
+
+std::string stageName(std::size_t stage)
+{
+    return "stage-" + std::to_string(stage);
+}
+
+Duration callTime(std::size_t pieces)
+{
+    const PieceCapacity capacity = *stageService("any").pieces;
+    return capacity.perCall + capacity.perPiece * static_cast<int>(pieces);
+}
+
+} // namespace
+
+StageChain::StageChain()
+{
+    Configuration configuration;
+    configuration.version = 1;
+    Route staged = route(RouteKind::Stream);
+    for (std::size_t stage = 0; stage < STAGES; ++stage) {
+        const std::vector<std::size_t> after = stage == 0 ? std::vector<std::size_t>() : std::vector<std::size_t> { stage - 1 };
+        staged.stages.push_back({ ServiceName(stageName(stage)), after, 1000 });
+        configuration.services.push_back(stageService(stageName(stage)));
+        m_pools.emplace_back(ServiceName(stageName(stage)), *configuration.services.back().pieces);
+        for (int number = 0; number < TARGETS; ++number) {
+            m_targets.put(target(stageName(stage) + "/" + std::to_string(number), stageName(stage)), START);
+        }
+    }
+    m_targets.put(target("engine-0", "engine"), START);
+    configuration.routes = { staged };
+    m_table = std::make_shared<const RouteTable>(configuration);
+}
+
+double StageChain::capacity()
+{
+    const auto batch = static_cast<std::size_t>(stageService("any").pieces->batch);
+    const std::chrono::duration<double> call = callTime(batch);
+    return TARGETS * static_cast<double>(batch) / call.count() / PIECES[BINDING_STAGE];
+}
+
+ChainResult StageChain::run(double requestsPerSecond, Duration length)
+{
+    const std::chrono::duration<double> interval(1 / requestsPerSecond);
+    MonotonicTime next = START;
+    const MonotonicTime last = START + length;
+    const auto isOpen = [](const Request &request) { return !request.hasEnded; };
+    while (m_now < last || std::any_of(m_requests.begin(), m_requests.end(), isOpen)) {
+        endCalls();
+        startStreams();
+        for (; next <= m_now && next < last; next += std::chrono::duration_cast<Duration>(interval)) {
+            arrive();
+        }
+        stepPools();
+        m_now += STEP;
+    }
+    return m_result;
+}
+
+void StageChain::arrive()
+{
+    RelayRequest request;
+    request.table = m_table;
+    request.route = m_table->route("host.example", "/jobs/x");
+    request.id = RequestId(std::to_string(m_requests.size()));
+    request.service = ServiceName("engine");
+    request.arrivedAt = m_now;
+    request.deadline = m_now + seconds(15);
+    request.timeoutAt = m_now + request.route->timeout;
+    request.pieceCounts = PIECES;
+    request.inputKey = "input";
+    request.fingerprint = Fingerprint(m_requests.size());
+    ++m_result.asked;
+    Request entry;
+    entry.machine = std::make_unique<RelayMachine>(std::move(request), m_shared);
+    m_requests.push_back(std::move(entry));
+    perform(m_requests.size() - 1, m_requests.back().machine->start(m_now));
+}
+
+void StageChain::perform(std::size_t request, const RelayActions &actions)
+{
+    for (const RelayAction &action : actions) {
+        std::visit(Overloaded {
+                       [&](const OrderPieces &one) { place(request, one.order); },
+                       [&](const FreeResults &one) {
+                           std::for_each(one.results.begin(), one.results.end(), [this](const StageResult &result) { release(result); });
+                       },
+                       [&](const SendRequest &one) {
+                           m_streams.push_back({ request, one.attempt, m_now + FIRST_EVENT });
+                       },
+                       [&](const RefuseRequest &) {
+                           ++m_result.refused;
+                           m_result.wastedPieces += m_requests[request].pieces;
+                           end(request);
+                       },
+                       [&](const EndStream &) { end(request); },
+                       [](const auto & /*other*/) {},
+                   },
+                   action);
+    }
+}
+
+void StageChain::place(std::size_t request, const PieceOrder &order)
+{
+    const OrderId id(m_orders.size() + 1);
+    m_orders[id] = { request, order.stage, order.pieces.size(), {} };
+    m_requests[request].open.push_back(id);
+    if (m_pools[order.stage].submit(id, order, m_targets, m_now)) {
+        return;
+    }
+    std::vector<OrderProgress> ends;
+    for (const int piece : order.pieces) {
+        ends.push_back({ id, { piece, PieceFailure::Late } });
+    }
+    progress(ends);
+}
+
+void StageChain::release(const StageResult &result)
+{
+    for (StagePool &pool : m_pools) {
+        pool.release(result);
+    }
+}
+
+void StageChain::end(std::size_t request)
+{
+    m_requests[request].hasEnded = true;
+    for (const OrderId id : m_requests[request].open) {
+        m_pools[m_orders.at(id).stage].withdraw(id);
+    }
+}
+
+void StageChain::progress(const std::vector<OrderProgress> &ends)
+{
+    for (const OrderProgress &one : ends) {
+        OpenOrder &order = m_orders.at(one.order);
+        const bool isMade = std::holds_alternative<StageResult>(one.end.outcome);
+        m_requests[order.request].pieces += isMade ? 1 : 0;
+        order.ends.push_back(one.end);
+        if (--order.left == 0) {
+            perform(order.request, m_requests[order.request].machine->onPieces(order.stage, order.ends, m_now));
+        }
+    }
+}
+
+void StageChain::endCalls()
+{
+    std::vector<RunningCall> ended;
+    const auto isRunning = [this](const RunningCall &running) { return running.endsAt > m_now; };
+    const auto middle = std::stable_partition(m_calls.begin(), m_calls.end(), isRunning);
+    std::move(middle, m_calls.end(), std::back_inserter(ended));
+    m_calls.erase(middle, m_calls.end());
+    for (const RunningCall &running : ended) {
+        std::vector<PieceOutcome> outcomes;
+        for (const CallItem &item : running.call.items) {
+            const std::string handle =
+                item.piece.request.value() + "." + stageName(item.piece.stage) + "." + std::to_string(item.piece.number);
+            outcomes.emplace_back(StageResult { handle, running.call.target.id });
+        }
+        progress(m_pools[running.stage].onAnswered(running.call.id, outcomes, m_targets, m_now));
+    }
+}
+
+void StageChain::startStreams()
+{
+    const std::vector<StartedStream> streams = std::exchange(m_streams, {});
+    for (const StartedStream &stream : streams) {
+        if (stream.firstEventAt > m_now) {
+            m_streams.push_back(stream);
+            continue;
+        }
+        RelayMachine &machine = *m_requests[stream.request].machine;
+        (m_now <= machine.request().usefulUntil() ? m_result.punctual : m_result.late) += 1;
+        AnswerHead head;
+        head.status = 200;
+        head.isStamped = true;
+        perform(stream.request, machine.onHead(stream.attempt, head, m_now));
+        perform(stream.request, machine.onBody(stream.attempt, "id: 1\ndata: a\n\n", m_now));
+        perform(stream.request, machine.onFinished(stream.attempt, m_now));
+    }
+}
+
+void StageChain::stepPools()
+{
+    for (std::size_t stage = 0; stage < m_pools.size(); ++stage) {
+        progress(m_pools[stage].expire(m_targets, m_now));
+        for (StageCall &call : m_pools[stage].dispatch(m_targets, m_now)) {
+            const Duration time = callTime(call.items.size());
+            m_calls.push_back({ stage, std::move(call), m_now + time });
+        }
+    }
+}
+
+} // namespace CassiaRelay::Gateway::Samples
--- /dev/null
+++ b/tests/auto/gateway/stagechain.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "samples.h"
+
+#include <map>
+#include <memory>
+
+namespace CassiaRelay::Gateway::Samples {
+
+/** How the requests of a run ended. */
+struct ChainResult {
+    int asked = 0;
+    int punctual = 0;
+    int late = 0;
+    int refused = 0;
+    int wastedPieces = 0; ///< made for requests that were refused
+};
+
+/**
+ * One route whose three stages follow each other, in virtual time: request machines, the pools of the stages, and an engine that
+ * starts each stream after a fixed time. The second stage binds: two targets, four pieces a request.
+ */
+class StageChain
+{
+public:
+    StageChain();
+
+    /** Requests come evenly at the rate for the length; the run ends when all have ended. */
+    ChainResult run(double requestsPerSecond, Duration length);
+    /** Requests a second that the second stage bears with full calls. */
+    static double capacity();
+
+private:
+    struct Request {
+        std::unique_ptr<RelayMachine> machine;
+        std::vector<OrderId> open;
+        int pieces = 0;
+        bool hasEnded = false;
+    };
+    struct OpenOrder {
+        std::size_t request = 0;
+        std::size_t stage = 0;
+        std::size_t left = 0;
+        std::vector<PieceEnd> ends;
+    };
+    struct RunningCall {
+        std::size_t stage = 0;
+        StageCall call;
+        MonotonicTime endsAt;
+    };
+    struct StartedStream {
+        std::size_t request = 0;
+        AttemptNumber attempt = 0;
+        MonotonicTime firstEventAt;
+    };
+
+    void arrive();
+    void perform(std::size_t request, const RelayActions &actions);
+    void place(std::size_t request, const PieceOrder &order);
+    void release(const StageResult &result);
+    void end(std::size_t request);
+    void progress(const std::vector<OrderProgress> &ends);
+    void endCalls();
+    void startStreams();
+    void stepPools();
+
+    TargetBook m_targets { {}, {}, 1 };
+    RetryBudget m_retries { { 0.2, 1000, seconds(10) } };
+    CrashRegister m_crashes;
+    StageTimes m_stageTimes;
+    RelayShared m_shared { m_targets, m_retries, m_crashes, m_stageTimes, 1 };
+    std::shared_ptr<const RouteTable> m_table;
+    std::vector<StagePool> m_pools;
+    std::vector<Request> m_requests;
+    std::map<OrderId, OpenOrder> m_orders;
+    std::vector<RunningCall> m_calls;
+    std::vector<StartedStream> m_streams;
+    MonotonicTime m_now = START;
+    ChainResult m_result;
+};
+
+} // namespace CassiaRelay::Gateway::Samples
