Count the room of results as free when their target has confirmed it

Cause: the daemon that gathers pieces took room as free at the moment at which it heard that a result was no longer needed, and gave the target its next call at once; the call that frees the results followed up to 30 ms later. Room now counts as free when the target has answered the freeing. The daemon of a request gathers what it frees for 10 ms instead of 30, and the gathering daemon passes it on at once.

--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -12,8 +12,10 @@
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_MISDIRECTED = 421;
 constexpr std::chrono::milliseconds WAKE_INTERVAL { 25 }; // a tenth of a usual call
-constexpr std::chrono::milliseconds FREE_INTERVAL { 30 }; // gathers what several requests free at one target
-constexpr std::chrono::milliseconds AVOID_TIME { 1000 };  // time in which a daemon that is gone is noticed
+constexpr std::chrono::milliseconds FREE_INTERVAL {
+    10
+}; // gathers what several requests free; 30 kept the room of results taken for too long
+constexpr std::chrono::milliseconds AVOID_TIME { 1000 }; // time in which a daemon that is gone is noticed
 constexpr std::chrono::milliseconds FREE_PATIENCE { 1000 };
 constexpr std::chrono::milliseconds ANSWER_TIME { 100 }; // for the way back from the owner
 
@@ -162,7 +164,7 @@
         for (const Schema::FreedResult &result : message.results) {
             results.push_back({ result.handle, TargetId(result.target) });
         }
-        releaseHere(Gateway::ServiceName(message.service), results);
+        freeHere(results);
     } catch (const std::exception &error) {
         m_log.write("frees unreadable", { { "reason", error.what() } }, std::chrono::steady_clock::now());
         response.status = STATUS_BAD_REQUEST;
@@ -492,10 +494,9 @@
         if (owner) {
             sendFreesToOwner(*owner, service, results);
         } else {
-            releaseHere(service, results);
+            freeHere(results);
         }
     }
-    sendFreesToTargets();
 }
 
 void PieceBroker::sendFreesToOwner(const Gateway::Member &owner,
@@ -512,32 +513,31 @@
     Net::HttpCallHandlers handlers;
     handlers.onFailed = [this, service = service, results](Net::CallFailure, const std::string &reason) {
         m_log.write("frees not passed on", { { "service", service.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
-        releaseHere(service, results);
+        freeHere(results);
     };
     m_peerClient.send(std::move(request), std::move(handlers));
 }
 
-void PieceBroker::releaseHere(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results)
+// A target that does not hear of it drops the results after a while; until then their room is not used again.
+void PieceBroker::freeHere(const std::vector<Gateway::StageResult> &results)
 {
+    std::map<TargetId, std::vector<Gateway::StageResult>> byTarget;
     for (const Gateway::StageResult &result : results) {
-        pool(service).release(result);
-        m_targetFrees[result.target].push_back(result.handle);
+        byTarget[result.target].push_back(result);
     }
-    freeLater();
-    pump(service);
-}
-
-// A target that does not hear of it drops the results after a while.
-void PieceBroker::sendFreesToTargets()
-{
-    for (auto &[target, handles] : std::exchange(m_targetFrees, {})) {
+    for (auto &[target, freed] : byTarget) {
         const std::optional<Gateway::TargetRecord> record = m_targets.find(target);
         if (!record) {
             continue;
         }
+        std::vector<std::string> handles;
+        for (const Gateway::StageResult &result : freed) {
+            handles.push_back(result.handle);
+        }
         Net::HttpCallRequest request = toCallRequest(record->endpoint, m_port.freeCall(handles));
         request.deadline = std::chrono::steady_clock::now() + FREE_PATIENCE;
         Net::HttpCallHandlers handlers;
+        handlers.onFinished = [this, service = record->service, freed = std::move(freed)] { onFreed(service, freed); };
         handlers.onFailed = [this, id = target](Net::CallFailure, const std::string &reason) {
             m_log.write("results not freed", { { "target", id.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
         };
@@ -545,4 +545,13 @@
     }
 }
 
+// Only now may the target be given more: a call that overtook the freeing found no room.
+void PieceBroker::onFreed(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results)
+{
+    for (const Gateway::StageResult &result : results) {
+        pool(service).release(result);
+    }
+    pump(service);
+}
+
 } // namespace CassiaRelay::GatewayDaemon
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -91,8 +91,8 @@
     void sendFreesToOwner(const Gateway::Member &owner,
                           const Gateway::ServiceName &service,
                           const std::vector<Gateway::StageResult> &results);
-    void sendFreesToTargets();
-    void releaseHere(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results);
+    void freeHere(const std::vector<Gateway::StageResult> &results);
+    void onFreed(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results);
 
     Net::HttpClient &m_targetClient;
     Net::HttpClient &m_peerClient;
@@ -110,7 +110,6 @@
     std::map<Gateway::OrderId, Order> m_orders;
     std::map<VmId, MonotonicTime> m_avoidUntil;                                ///< owners that failed an order
     std::map<Gateway::ServiceName, std::vector<Gateway::StageResult>> m_frees; ///< not told to the daemon that gathers the service
-    std::map<TargetId, std::vector<std::string>> m_targetFrees;                ///< not told to the target
     boost::asio::steady_timer m_wakeTimer;
     boost::asio::steady_timer m_freeTimer;
     bool m_isWaking = false;
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -16,10 +16,12 @@
 PATIENCE_MS = 10000
 REGION = "cap-vert"
 EVENTS = 16
+RESULT_BYTES = 1000000
+ROOM = 10  # results of RESULT_BYTES that a target holds
 ROUTES = [
     {"name": "draft", "prefix": "/draft/", "service": "engine", "kind": "stream", "timeoutMs": 10000, "targetLatencyMs": 2000,
      "priority": 0, "maxAttempts": 2, "resumable": True, "gapAimMs": 500, "stages": [
-         {"service": "encode", "after": [], "bytes": 1000},
+         {"service": "encode", "after": [], "bytes": RESULT_BYTES},
          {"service": "retrieve", "after": [0], "bytes": 1000}]},
     {"name": "book", "prefix": "/book/", "service": "desk", "kind": "unsafe", "timeoutMs": 8000, "targetLatencyMs": 300,
      "priority": 0, "maxAttempts": 2},
@@ -27,12 +29,12 @@
      "priority": 1, "maxAttempts": 2},
 ]
 UNSAFE_ROUTES = {route["name"] for route in ROUTES if route["kind"] == "unsafe"}
-PIECES = {"slots": 1, "queue": 1, "batch": 8, "callMs": 20, "itemMs": 1, "headroomMb": 10, "handleS": 10, "linkMbps": 1000}
+PIECES = {"slots": 1, "queue": 1, "batch": 8, "callMs": 20, "itemMs": 1, "headroomMb": ROOM * RESULT_BYTES / 1e6, "handleS": 10, "linkMbps": 1000}
 SERVICES = [{"name": "engine", "coldPerS": 5}, {"name": "desk", "coldPerS": 5},
             {"name": "encode", "coldPerS": 5, "pieces": PIECES}, {"name": "retrieve", "coldPerS": 5, "pieces": PIECES}]
 PIECES_WANTED = {"draft": "2,3"}
 TARGET_OPTIONS = {"engine": ("--streams", "--tokens", EVENTS), "desk": (),
-                  "encode": ("--capacity", 1, "--queue", 1, "--service-ms", 20, "--item-ms", 1),
+                  "encode": ("--room", ROOM, "--capacity", 1, "--queue", 1, "--service-ms", 20, "--item-ms", 1),
                   "retrieve": ("--capacity", 1, "--queue", 1, "--service-ms", 20, "--item-ms", 1)}
 
 
--- a/tests/standins/routeservice.cpp
+++ b/tests/standins/routeservice.cpp
@@ -66,15 +66,13 @@
 void RouteService::dropResults()
 {
     m_results.clear();
+    m_reserved = 0;
 }
 
 json RouteService::stats() const
 {
-    return { { "results", m_results.size() },
-             { "piecesMade", m_made },
-             { "stageCalls", m_calls },
-             { "wrongInputs", m_wrongInputs },
-             { "withoutDeadline", m_withoutDeadline },
+    return { { "results", m_results.size() }, { "withoutRoom", m_withoutRoom }, { "piecesMade", m_made },
+             { "stageCalls", m_calls },       { "wrongInputs", m_wrongInputs }, { "withoutDeadline", m_withoutDeadline },
              { "misdirected", m_misdirected } };
 }
 
@@ -82,19 +80,34 @@
 {
     ++m_calls;
     const RouteCall call = readRouteCall(exchange->request());
-    const auto answer = [this, call, items, load](const Net::HttpExchangePointer &to, const std::string &) {
+    std::vector<bool> hasRoom;
+    for (std::size_t item = 0; item < items.size(); ++item) {
+        hasRoom.push_back(reserveRoom());
+    }
+    const auto answer = [this, call, items, hasRoom, load](const Net::HttpExchangePointer &to, const std::string &) {
         json results = json::array();
-        for (const json &item : items) {
-            results.push_back({ { "handle", makeResult(item) } });
+        for (std::size_t item = 0; item < items.size(); ++item) {
+            results.push_back(hasRoom[item] ? json { { "handle", makeResult(items[item]) } } : json { { "reason", "room" } });
         }
         to->respond({ 200, "application/json", json { { "items", results } }.dump(), runFields(call, m_options.instance, load) });
     };
     m_enqueue(std::make_shared<CallWork>(m_context, exchange, call.id, std::string(), answer), m_options.itemTime * items.size());
 }
 
+bool RouteService::reserveRoom()
+{
+    if (m_options.room > 0 && m_results.size() + m_reserved >= m_options.room) {
+        ++m_withoutRoom;
+        return false;
+    }
+    ++m_reserved;
+    return true;
+}
+
 std::string RouteService::makeResult(const json &item)
 {
     ++m_made;
+    --m_reserved;
     const std::string request = item.value("id", "");
     for (const json &input : item.value("inputs", json::array())) {
         m_wrongInputs += requestOfHandle(input.get<std::string>()) == request ? 0 : 1;
--- a/tests/standins/routeservice.h
+++ b/tests/standins/routeservice.h
@@ -31,6 +31,7 @@
 private:
     void runPieces(const Net::HttpExchangePointer &exchange, const nlohmann::json &items, const TargetLoad &load);
     void runRequest(const Net::HttpExchangePointer &exchange, const std::string &path, const nlohmann::json &body, const TargetLoad &load);
+    bool reserveRoom();
     std::string makeResult(const nlohmann::json &item);
     bool hasWrongInputs(const RouteCall &call) const;
 
@@ -38,7 +39,9 @@
     TargetOptions m_options;
     Enqueue m_enqueue;
     std::set<std::string> m_results;
+    std::size_t m_reserved = 0; ///< room of results that are being made
     std::uint64_t m_made = 0;
+    std::uint64_t m_withoutRoom = 0;
     std::uint64_t m_calls = 0;
     std::uint64_t m_wrongInputs = 0;
     std::uint64_t m_withoutDeadline = 0;
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -35,6 +35,7 @@
         "instance", options::value<std::string>()->default_value(""), "serve routes of the users as NAME-0, NAME-1, ...")(
         "streams",
         "answers of routes are streams of events")("item-ms", options::value<int>()->default_value(0), "time of each piece of a call")(
+        "room", options::value<std::size_t>()->default_value(0), "results that it holds at a time, 0 for any number")(
         "queue", options::value<int>()->default_value(TargetOptions {}.queue), "work that may wait");
     return description;
 }
@@ -60,6 +61,7 @@
     target.instance = instance.empty() ? std::string() : instance + "-" + std::to_string(index);
     target.streamsEvents = arguments.count("streams") > 0;
     target.itemTime = milliseconds(arguments["item-ms"].as<int>());
+    target.room = arguments["room"].as<std::size_t>();
     target.queue = arguments["queue"].as<int>();
     return target;
 }
--- a/tests/standins/targetoptions.h
+++ b/tests/standins/targetoptions.h
@@ -31,6 +31,7 @@
     std::string instance;                     ///< set: it serves routes of the users and answers as this instance
     bool streamsEvents = false;               ///< answers of routes are streams of events
     std::chrono::milliseconds itemTime { 0 }; ///< added to the time of a call for each piece
+    std::size_t room = 0;                     ///< results that it holds at a time; 0: any number
     int queue = 10000;                        ///< work that may wait; more is turned away
 };
 
