Do not take an order that ran out of time for a failure of its owner

An order whose time is up now ends as late. When an owner does fail, its orders go to the next in rank, the same one for all daemons, instead of to each daemon itself. Ruled out: disagreement about the members (all knew each other 0.5 s after the restart), rooms left over from before the restart (free_bytes in the backlog lines was far from zero). Tests: orderThatRanOutOfTimeDoesNotMoveItsOwner, failingOwnerIsReplacedByTheNextInRankForAWhile; the decision moved from the broker, where it could not be tested, to Members.

--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -15,7 +15,6 @@
 constexpr std::chrono::milliseconds FREE_INTERVAL {
     10
 }; // gathers what several requests free; 30 kept the room of results taken for too long
-constexpr std::chrono::milliseconds AVOID_TIME { 1000 }; // time in which a daemon that is gone is noticed
 constexpr std::chrono::milliseconds FREE_PATIENCE { 1000 };
 constexpr std::chrono::milliseconds ANSWER_TIME { 100 }; // for the way back from the owner
 
@@ -245,16 +244,12 @@
 
 void PieceBroker::place(Gateway::OrderId id)
 {
-    const std::optional<Gateway::Member> owner = m_members.owner(m_orders.at(id).work.service);
-    const MonotonicTime now = std::chrono::steady_clock::now();
+    const std::optional<Gateway::Member> owner = m_members.ownerToAsk(m_orders.at(id).work.service, std::chrono::steady_clock::now());
     if (owner) {
-        const auto avoided = m_avoidUntil.find(owner->vm);
-        if (avoided == m_avoidUntil.end() || avoided->second <= now) {
-            placeAt(*owner, id);
-            return;
-        }
+        placeAt(*owner, id);
+    } else {
+        placeHere(id);
     }
-    placeHere(id);
 }
 
 void PieceBroker::placeHere(Gateway::OrderId id)
@@ -315,11 +310,22 @@
         return;
     }
     const MonotonicTime now = std::chrono::steady_clock::now();
-    m_avoidUntil[*order->second.owner] = now + AVOID_TIME;
+    const Gateway::PieceOrder &work = order->second.work;
+    const bool mayPlaceAgain = m_members.noteFailedOrder(*order->second.owner, work.giveUpAt, now);
     m_log.write("piece owner failed",
-                { { "request", order->second.work.request.value() }, { "vm", order->second.owner->value() }, { "reason", reason } },
+                { { "request", work.request.value() },
+                  { "vm", order->second.owner->value() },
+                  { "reason", reason },
+                  { "time_up", mayPlaceAgain ? "no" : "yes" } },
                 now);
-    placeHere(id);
+    if (mayPlaceAgain) {
+        place(id);
+        return;
+    }
+    for (const int piece : work.pieces) {
+        order->second.ends.push_back({ piece, Gateway::PieceFailure::Late });
+    }
+    finish(id);
 }
 
 Gateway::StagePool &PieceBroker::pool(const Gateway::ServiceName &service)
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -108,7 +108,6 @@
     std::map<Gateway::ServiceName, Gateway::StagePool> m_pools;
     std::unordered_map<Gateway::ServiceName, Gateway::PieceCapacity> m_capacities;
     std::map<Gateway::OrderId, Order> m_orders;
-    std::map<VmId, MonotonicTime> m_avoidUntil;                                ///< owners that failed an order
     std::map<Gateway::ServiceName, std::vector<Gateway::StageResult>> m_frees; ///< not told to the daemon that gathers the service
     boost::asio::steady_timer m_wakeTimer;
     boost::asio::steady_timer m_freeTimer;
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -4,8 +4,9 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds SILENCE_LIMIT { 1000 }; // three greetings missed
-constexpr std::chrono::seconds CANDIDATE_LIFETIME { 10 };   // a restarted machine is back within seconds
+constexpr std::chrono::milliseconds SILENCE_LIMIT { 1000 };  // three greetings missed
+constexpr std::chrono::milliseconds PASS_OVER_TIME { 1000 }; // a daemon that is gone is noticed within this
+constexpr std::chrono::seconds CANDIDATE_LIFETIME { 10 };    // a restarted machine is back within seconds
 
 } // namespace
 
@@ -41,7 +42,7 @@
     }
     const auto found = m_members.find(member.vm);
     if (found == m_members.end()) {
-        m_members.emplace(member.vm, State { member, now });
+        m_members.emplace(member.vm, State { member, now, {} });
         return true;
     }
     State &state = found->second;
@@ -101,20 +102,46 @@
     return members;
 }
 
-std::optional<Member> Members::owner(const ServiceName &service) const
+// Rendezvous hashing; nothing stands for this daemon.
+template<typename Condition>
+std::optional<Member> Members::firstInRank(const ServiceName &service, Condition isCandidate) const
 {
     const std::uint64_t seed = stableHash(service.value());
     std::uint64_t highest = m_isLeaving ? 0 : stableHash(m_self.value(), seed);
-    const Member *owner = nullptr;
+    const Member *first = nullptr;
     for (const auto &[vm, state] : m_members) {
         const std::uint64_t rank = stableHash(vm.value(), seed);
-        if (state.member.isLeaving || rank <= highest) {
+        if (state.member.isLeaving || rank <= highest || !isCandidate(state)) {
             continue;
         }
         highest = rank;
-        owner = &state.member;
+        first = &state.member;
+    }
+    return first ? std::optional(*first) : std::nullopt;
+}
+
+std::optional<Member> Members::owner(const ServiceName &service) const
+{
+    return firstInRank(service, [](const State &) { return true; });
+}
+
+std::optional<Member> Members::ownerToAsk(const ServiceName &service, MonotonicTime now) const
+{
+    return firstInRank(service, [now](const State &state) { return state.passedOverUntil <= now; });
+}
+
+// An order whose time was up says that the work was late, not that its owner is gone. Taken for a failure it would make each daemon
+// gather for itself, their calls would fill the targets' queues, and more orders would run out of time.
+bool Members::noteFailedOrder(const VmId &vm, MonotonicTime giveUpAt, MonotonicTime now)
+{
+    if (now >= giveUpAt) {
+        return false;
+    }
+    const auto found = m_members.find(vm);
+    if (found != m_members.end()) {
+        found->second.passedOverUntil = now + PASS_OVER_TIME;
     }
-    return owner ? std::optional(*owner) : std::nullopt;
+    return true;
 }
 
 void Members::setLeaving()
--- a/tests/auto/gateway/tst_members.cpp
+++ b/tests/auto/gateway/tst_members.cpp
@@ -64,6 +64,44 @@
     BOOST_TEST((!next || next->vm.value() != *owners.begin()));
 }
 
+// After a restart of all daemons under load: orders run out of time, and every daemon took their owner for gone.
+BOOST_AUTO_TEST_CASE(orderThatRanOutOfTimeDoesNotMoveItsOwner)
+{
+    const ServiceName service("stage");
+    Members members(VmId("vm0"), endpoint(0));
+    for (int number = 1; number < 6; ++number) {
+        members.onGreeting(member(number), {}, START);
+    }
+    const std::optional<Member> owner = members.owner(service);
+    BOOST_REQUIRE(owner);
+    BOOST_TEST(!members.noteFailedOrder(owner->vm, START + seconds(1), START + milliseconds(1100)));
+    BOOST_TEST(members.ownerToAsk(service, START + milliseconds(1100))->vm.value() == owner->vm.value());
+}
+
+BOOST_AUTO_TEST_CASE(failingOwnerIsReplacedByTheNextInRankForAWhile)
+{
+    const ServiceName service("stage");
+    Members members(VmId("vm0"), endpoint(0));
+    Members other(VmId("vm6"), endpoint(6));
+    for (int number = 1; number < 6; ++number) {
+        members.onGreeting(member(number), {}, START);
+        other.onGreeting(member(number), {}, START);
+    }
+    other.onGreeting(member(0), {}, START);
+    members.onGreeting(member(6), {}, START);
+    const std::optional<Member> owner = members.owner(service);
+    BOOST_REQUIRE(owner);
+    for (Members *daemon : { &members, &other }) {
+        BOOST_TEST(daemon->noteFailedOrder(owner->vm, START + seconds(5), START));
+    }
+    const std::optional<Member> next = members.ownerToAsk(service, START);
+    BOOST_REQUIRE(next);
+    BOOST_TEST(next->vm.value() != owner->vm.value());
+    BOOST_TEST(next->vm.value() == other.ownerToAsk(service, START)->vm.value());
+    BOOST_TEST(members.owner(service)->vm.value() == owner->vm.value());
+    BOOST_TEST(members.ownerToAsk(service, START + seconds(1))->vm.value() == owner->vm.value());
+}
+
 BOOST_AUTO_TEST_CASE(olderIncarnationIsIgnored)
 {
     Members first(VmId("vm0"), endpoint(0));
