--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -12,9 +12,7 @@
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_MISDIRECTED = 421;
 constexpr std::chrono::milliseconds WAKE_INTERVAL { 25 }; // a tenth of a usual call
-constexpr std::chrono::milliseconds FREE_INTERVAL {
-    10
-}; // gathers what several requests free; 30 kept the room of results taken for too long
+constexpr std::chrono::milliseconds FREE_INTERVAL { 10 }; // gathers frees of several requests; 30 kept their room taken for too long
 constexpr std::chrono::milliseconds FREE_PATIENCE { 1000 };
 constexpr std::chrono::milliseconds ANSWER_TIME { 100 }; // for the way back from the owner
 
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -31,6 +31,21 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+// Time of the stages that follow one after the other.
+template<typename TimeOf>
+Duration longestBranchAfter(const StagePlan &plan, std::size_t stage, const TimeOf &timeOf)
+{
+    Duration longest {};
+    for (std::size_t next = stage + 1; next < plan.size(); ++next) {
+        const std::vector<std::size_t> &after = plan.stage(next).after;
+        if (std::find(after.begin(), after.end(), stage) == after.end() || plan.pieces(next).empty()) {
+            continue;
+        }
+        longest = std::max(longest, timeOf(next) + longestBranchAfter(plan, next, timeOf));
+    }
+    return longest;
+}
+
 } // namespace
 
 RelayMachine::RelayMachine(RelayRequest request, RelayShared &shared)
@@ -329,32 +344,16 @@
     orderReadyStages(actions, now);
 }
 
-// Least time of the stages that follow one after the other.
 Duration RelayMachine::workAfter(std::size_t stage) const
 {
-    Duration longest {};
-    for (std::size_t next = stage + 1; next < m_plan.size(); ++next) {
-        const RouteStage &follower = m_plan.stage(next);
-        if (std::find(follower.after.begin(), follower.after.end(), stage) == follower.after.end() || m_plan.pieces(next).empty()) {
-            continue;
-        }
-        longest = std::max(longest, leastTime(next) + workAfter(next));
-    }
-    return longest;
+    return longestBranchAfter(m_plan, stage, [this](std::size_t next) { return leastTime(next); });
 }
 
 Duration RelayMachine::expectedWorkAfter(std::size_t stage, MonotonicTime now) const
 {
-    Duration longest {};
-    for (std::size_t next = stage + 1; next < m_plan.size(); ++next) {
-        const RouteStage &follower = m_plan.stage(next);
-        if (std::find(follower.after.begin(), follower.after.end(), stage) == follower.after.end() || m_plan.pieces(next).empty()) {
-            continue;
-        }
-        const Duration taken = m_shared.stageTimes.expected(follower.service, m_request.rank(), leastTime(next), now);
-        longest = std::max(longest, taken + expectedWorkAfter(next, now));
-    }
-    return longest;
+    return longestBranchAfter(m_plan, stage, [this, now](std::size_t next) {
+        return m_shared.stageTimes.expected(m_plan.stage(next).service, m_request.rank(), leastTime(next), now);
+    });
 }
 
 Duration RelayMachine::leastTime(std::size_t stage) const
