--- a/tests/standins/standintarget.cpp
+++ b/tests/standins/standintarget.cpp
@@ -43,13 +43,13 @@
 
 StandInTarget::StandInTarget(boost::asio::io_context &context, TargetOptions options, std::uint16_t port, std::uint64_t seed)
     : m_context(context)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_restartTimer(context)
     , m_loadTimer(context)
     , m_port(port)
     , m_incarnation(seed + 1)
-    , m_cold(options.startsCold)
-    , m_prefixes(options.prefixSlots)
+    , m_cold(m_options.startsCold)
+    , m_prefixes(m_options.prefixSlots)
 {
     if (!m_options.instance.empty()) {
         m_routes.emplace(context, m_options, [this](const WorkPointer &work, milliseconds firstDelay) { enqueue(work, firstDelay); });
