--- a/src/app/cassiarelayd/daemon.cpp
+++ b/src/app/cassiarelayd/daemon.cpp
@@ -11,13 +11,6 @@
 constexpr std::chrono::milliseconds ROUTER_TICK { 10 };
 constexpr std::chrono::milliseconds IDLE_CHECK { 20 };
 
-// Wall-clock start time: rises from one start of a VM's process to the next.
-Incarnation newIncarnation()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count()));
-}
-
 std::string requestIdPrefix(const VmId &vm, Incarnation incarnation)
 {
     return vm.value() + "-" + std::to_string(incarnation.value()) + "-";
--- a/src/app/gateway/frontdoor.cpp
+++ b/src/app/gateway/frontdoor.cpp
@@ -11,11 +11,14 @@
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_UNAUTHORIZED = 401;
 constexpr unsigned STATUS_NOT_FOUND = 404;
-constexpr unsigned STATUS_UNAVAILABLE = 503;
 constexpr std::chrono::milliseconds RETRY_AFTER_START { 500 };  // a daemon that has started has its configuration within this
-constexpr std::chrono::milliseconds RETRY_ELSEWHERE { 50 };     // a new connection reaches another daemon
 constexpr std::chrono::milliseconds DEFAULT_PATIENCE { 30000 }; // of callers that do not say how long they wait
 
+Gateway::RefuseRequest notRun(Gateway::GiveUpCause cause, Duration retryAfter)
+{
+    return Gateway::refusalFor(cause, Gateway::RunState::NotRun, retryAfter, {});
+}
+
 std::string pathOf(const std::string &target)
 {
     return target.substr(0, target.find_first_of("?#"));
@@ -41,7 +44,7 @@
     const Gateway::CallerHead head = m_services.port.readCaller(fields);
     const Gateway::RouteTablePointer &table = m_services.catalogue.table();
     if (!table) {
-        refuse(exchange, head, { STATUS_UNAVAILABLE, RETRY_AFTER_START, "this daemon has no configuration yet" });
+        refuse(exchange, head, notRun(Gateway::GiveUpCause::NoConfiguration, RETRY_AFTER_START));
         return;
     }
     if (head.id.value().empty()) {
@@ -62,7 +65,7 @@
     }
     const std::optional<Shutdown> &shutdown = m_services.shutdown;
     if (shutdown && !Gateway::mayTakeDuringShutdown(*route, std::chrono::steady_clock::now() - shutdown->began, shutdown->total)) {
-        refuse(exchange, head, { STATUS_UNAVAILABLE, RETRY_ELSEWHERE, "this daemon is shutting down" });
+        refuse(exchange, head, notRun(Gateway::GiveUpCause::ShuttingDown, Gateway::RETRY_ELSEWHERE));
         return;
     }
     Gateway::RelayRequest request;
--- a/src/app/gateway/peerlink.cpp
+++ b/src/app/gateway/peerlink.cpp
@@ -1,5 +1,7 @@
 #include "peerlink.h"
 
+#include "callrequests.h"
+
 namespace CassiaRelay::GatewayDaemon {
 
 namespace {
@@ -7,13 +9,6 @@
 constexpr std::chrono::milliseconds GREETING_INTERVAL { 300 }; // a daemon that is gone is noticed after a second
 constexpr std::chrono::milliseconds GREETING_PATIENCE { 500 }; // slow machines answer late, but within the second
 
-// Wall-clock start time: rises from one start of a process to the next.
-std::int64_t newIncarnation()
-{
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
-}
-
 std::string toHex(Fingerprint fingerprint)
 {
     constexpr int DIGITS = 16;
@@ -115,13 +110,7 @@
     if (!m_greeting.insert(key).second) {
         return;
     }
-    Net::HttpCallRequest request;
-    request.address = endpoint.address;
-    request.port = endpoint.port;
-    request.method = "POST";
-    request.path = PATH;
-    request.contentType = "application/cbor";
-    request.body = ownGreeting();
+    Net::HttpCallRequest request = peerRequest(endpoint, PATH, ownGreeting());
     request.deadline = std::chrono::steady_clock::now() + GREETING_PATIENCE;
     request.connectTimeout = GREETING_PATIENCE;
     auto body = std::make_shared<std::string>();
@@ -144,16 +133,15 @@
     Schema::Greeting greeting;
     greeting.vm = m_self.value();
     greeting.address = m_endpoint.text();
-    greeting.incarnation = m_incarnation;
+    greeting.incarnation = static_cast<std::int64_t>(m_incarnation.value());
     greeting.leaving = m_isLeaving;
-    for (const Endpoint &endpoint : m_members.known()) {
-        greeting.known.push_back(endpoint.text());
+    for (const Gateway::Member &member : m_members.alive()) {
+        greeting.known.push_back(member.endpoint.text());
     }
     for (const Gateway::CrashCount &count : m_crashes.own(std::chrono::steady_clock::now())) {
         greeting.crashes.push_back({ count.crashes, toHex(count.fingerprint) });
     }
-    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(nlohmann::json(greeting));
-    return { bytes.begin(), bytes.end() };
+    return Schema::toCbor(greeting);
 }
 
 void PeerLink::onGreeting(std::string_view bytes)
--- a/src/app/gateway/peerlink.h
+++ b/src/app/gateway/peerlink.h
@@ -45,7 +45,7 @@
     Net::HttpClient &m_client;
     VmId m_self;
     Endpoint m_endpoint;
-    std::int64_t m_incarnation;
+    Incarnation m_incarnation;
     Gateway::Members &m_members;
     Gateway::CrashRegister &m_crashes;
     EventLog &m_log;
--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -1,11 +1,11 @@
 #include "piecebroker.h"
 
+#include "callrequests.h"
 #include "fieldlist.h"
+#include "piecemessages.h"
 
 namespace CassiaRelay::GatewayDaemon {
 
-using nlohmann::json;
-
 namespace {
 
 constexpr unsigned STATUS_OK = 200;
@@ -14,128 +14,9 @@
 constexpr std::chrono::milliseconds WAKE_INTERVAL { 25 }; // a tenth of a usual call
 constexpr std::chrono::milliseconds FREE_INTERVAL { 30 }; // gathers what several requests free at one target
 constexpr std::chrono::milliseconds AVOID_TIME { 1000 };  // time in which a daemon that is gone is noticed
-constexpr std::chrono::milliseconds CONNECT_PATIENCE { 300 };
 constexpr std::chrono::milliseconds FREE_PATIENCE { 1000 };
 constexpr std::chrono::milliseconds ANSWER_TIME { 100 }; // for the way back from the owner
 
-std::int64_t millisecondsUntil(MonotonicTime time, MonotonicTime now)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time - now).count();
-}
-
-std::string toCbor(const json &document)
-{
-    const std::vector<std::uint8_t> bytes = json::to_cbor(document);
-    return { bytes.begin(), bytes.end() };
-}
-
-Schema::PieceOrder toMessage(const Gateway::PieceOrder &work, MonotonicTime now)
-{
-    Schema::PieceOrder message;
-    message.request = work.request.value();
-    message.service = work.service.value();
-    message.stage = static_cast<std::int64_t>(work.stage);
-    message.rank = work.rank;
-    message.patienceMs = millisecondsUntil(work.giveUpAt, now);
-    message.usefulMs = millisecondsUntil(work.usefulUntil, now);
-    message.resultBytes = static_cast<std::int64_t>(work.resultBytes);
-    message.pieceKey = work.inputKey;
-    if (work.preferredDomain) {
-        message.preferredDomain = work.preferredDomain->value();
-    }
-    message.inputs = work.inputs;
-    message.pieces.assign(work.pieces.begin(), work.pieces.end());
-    return message;
-}
-
-Gateway::PieceOrder fromMessage(const Schema::PieceOrder &message, MonotonicTime now)
-{
-    Gateway::PieceOrder work;
-    work.request = RequestId(message.request);
-    work.service = Gateway::ServiceName(message.service);
-    work.stage = static_cast<std::size_t>(message.stage);
-    work.rank = static_cast<int>(message.rank);
-    work.giveUpAt = now + std::chrono::milliseconds(message.patienceMs);
-    work.usefulUntil = now + std::chrono::milliseconds(message.usefulMs);
-    work.resultBytes = static_cast<std::size_t>(message.resultBytes);
-    work.inputKey = message.pieceKey.value_or(std::string());
-    if (message.preferredDomain) {
-        work.preferredDomain = FailureDomain(*message.preferredDomain);
-    }
-    work.inputs = message.inputs.value_or(std::vector<std::string>());
-    work.pieces.assign(message.pieces.begin(), message.pieces.end());
-    return work;
-}
-
-Schema::PieceFailureName toName(Gateway::PieceFailure failure)
-{
-    switch (failure) {
-    case Gateway::PieceFailure::Late:
-        return Schema::PieceFailureName::Late;
-    case Gateway::PieceFailure::InputGone:
-        return Schema::PieceFailureName::InputGone;
-    case Gateway::PieceFailure::NoRoom:
-        return Schema::PieceFailureName::NoRoom;
-    case Gateway::PieceFailure::Withdrawn:
-        return Schema::PieceFailureName::Withdrawn;
-    case Gateway::PieceFailure::Failed:
-        break;
-    }
-    return Schema::PieceFailureName::Failed;
-}
-
-Gateway::PieceFailure fromName(Schema::PieceFailureName name)
-{
-    switch (name) {
-    case Schema::PieceFailureName::Late:
-        return Gateway::PieceFailure::Late;
-    case Schema::PieceFailureName::InputGone:
-        return Gateway::PieceFailure::InputGone;
-    case Schema::PieceFailureName::NoRoom:
-        return Gateway::PieceFailure::NoRoom;
-    case Schema::PieceFailureName::Withdrawn:
-        return Gateway::PieceFailure::Withdrawn;
-    case Schema::PieceFailureName::Failed:
-        break;
-    }
-    return Gateway::PieceFailure::Failed;
-}
-
-Schema::PieceResults toMessage(const std::vector<Gateway::PieceEnd> &ends)
-{
-    Schema::PieceResults message;
-    for (const Gateway::PieceEnd &end : ends) {
-        Schema::PieceResult result;
-        result.piece = end.piece;
-        std::visit(Overloaded {
-                       [&result](const Gateway::StageResult &made) {
-                           result.handle = made.handle;
-                           result.target = made.target.value();
-                       },
-                       [&result](Gateway::PieceFailure failure) { result.failure = toName(failure); },
-                   },
-                   end.outcome);
-        message.results.push_back(std::move(result));
-    }
-    return message;
-}
-
-std::vector<Gateway::PieceEnd> fromMessage(const Schema::PieceResults &message)
-{
-    std::vector<Gateway::PieceEnd> ends;
-    for (const Schema::PieceResult &result : message.results) {
-        Gateway::PieceEnd end;
-        end.piece = static_cast<int>(result.piece);
-        if (result.handle && result.target) {
-            end.outcome = Gateway::StageResult { *result.handle, TargetId(*result.target) };
-        } else {
-            end.outcome = fromName(result.failure.value_or(Schema::PieceFailureName::Failed));
-        }
-        ends.push_back(std::move(end));
-    }
-    return ends;
-}
-
 std::string_view toString(Gateway::AttemptResult result)
 {
     switch (result) {
@@ -171,32 +52,6 @@
     return Gateway::AttemptResult::Broken;
 }
 
-Net::HttpCallRequest peerRequest(const Gateway::Member &peer, const char *path, std::string body)
-{
-    Net::HttpCallRequest request;
-    request.address = peer.endpoint.address;
-    request.port = peer.endpoint.port;
-    request.method = "POST";
-    request.path = path;
-    request.contentType = "application/cbor";
-    request.body = std::move(body);
-    request.connectTimeout = CONNECT_PATIENCE;
-    return request;
-}
-
-Net::HttpCallRequest targetRequest(const Gateway::TargetRecord &target, Gateway::WireCall wire)
-{
-    Net::HttpCallRequest request;
-    request.address = target.endpoint.address;
-    request.port = target.endpoint.port;
-    request.method = std::move(wire.method);
-    request.path = std::move(wire.path);
-    request.fields = std::move(wire.fields);
-    request.body = std::move(wire.body);
-    request.connectTimeout = CONNECT_PATIENCE;
-    return request;
-}
-
 } // namespace
 
 PieceBroker::PieceBroker(boost::asio::io_context &context,
@@ -224,6 +79,13 @@
 }
 
 Gateway::OrderId PieceBroker::order(const Gateway::PieceOrder &work, DoneHandler done)
+{
+    const Gateway::OrderId id = add(work, std::move(done));
+    place(id);
+    return id;
+}
+
+Gateway::OrderId PieceBroker::add(const Gateway::PieceOrder &work, DoneHandler done)
 {
     const Gateway::OrderId id(m_nextOrder++);
     Order order;
@@ -231,7 +93,6 @@
     order.done = std::move(done);
     order.open = work.pieces.size();
     m_orders.emplace(id, std::move(order));
-    place(id);
     return id;
 }
 
@@ -250,13 +111,7 @@
         return;
     }
     pool(order.work.service).withdraw(id);
-    std::vector<Gateway::StageResult> made;
-    for (const Gateway::PieceEnd &end : order.ends) {
-        if (const auto *result = std::get_if<Gateway::StageResult>(&end.outcome)) {
-            made.push_back(*result);
-        }
-    }
-    free(made);
+    free(Gateway::resultsOf(order.ends));
 }
 
 void PieceBroker::free(const std::vector<Gateway::StageResult> &results)
@@ -278,8 +133,8 @@
 {
     Gateway::PieceOrder work;
     try {
-        const json document = Schema::parseBoundedCbor(exchange->request().body());
-        work = fromMessage(document.get<Schema::PieceOrder>(), std::chrono::steady_clock::now());
+        const auto message = Schema::parseBoundedCbor(exchange->request().body()).get<Schema::PieceOrder>();
+        work = fromMessage(message, std::chrono::steady_clock::now());
     } catch (const std::exception &error) {
         m_log.write("piece order unreadable", { { "reason", error.what() } }, std::chrono::steady_clock::now());
         Net::HttpResponse response;
@@ -287,18 +142,13 @@
         exchange->respond(std::move(response));
         return;
     }
-    const Gateway::OrderId id(m_nextOrder++);
-    Order order;
-    order.work = work;
-    order.open = work.pieces.size();
-    order.done = [exchange](const std::vector<Gateway::PieceEnd> &ends) {
+    const Gateway::OrderId id = add(work, [exchange](const std::vector<Gateway::PieceEnd> &ends) {
         Net::HttpResponse response;
         response.contentType = "application/cbor";
-        response.body = toCbor(json(toMessage(ends)));
+        response.body = Schema::toCbor(toMessage(ends));
         exchange->respond(std::move(response));
-    };
+    });
     exchange->onClosed([this, id] { withdraw(id); });
-    m_orders.emplace(id, std::move(order));
     placeHere(id);
 }
 
@@ -425,7 +275,7 @@
     Order &order = m_orders.at(id);
     order.owner = owner.vm;
     m_ordersElsewhere.add();
-    Net::HttpCallRequest request = peerRequest(owner, PATH, toCbor(json(toMessage(order.work, now))));
+    Net::HttpCallRequest request = peerRequest(owner.endpoint, PATH, Schema::toCbor(toMessage(order.work, now)));
     request.deadline = std::max(order.work.giveUpAt, now) + ANSWER_TIME;
     auto status = std::make_shared<unsigned>(0);
     auto body = std::make_shared<std::string>();
@@ -497,7 +347,7 @@
     const MonotonicTime now = std::chrono::steady_clock::now();
     m_calls.add();
     m_pieces.add(call.items.size());
-    Net::HttpCallRequest request = targetRequest(call.target, m_port.stageCall(call, now));
+    Net::HttpCallRequest request = toCallRequest(call.target.endpoint, m_port.stageCall(call, now));
     request.deadline = call.overdueAt;
     struct Reply {
         Gateway::StageCall call;
@@ -657,7 +507,7 @@
     for (const Gateway::StageResult &result : results) {
         message.results.push_back({ result.handle, result.target.value() });
     }
-    Net::HttpCallRequest request = peerRequest(owner, FREES_PATH, toCbor(json(message)));
+    Net::HttpCallRequest request = peerRequest(owner.endpoint, FREES_PATH, Schema::toCbor(message));
     request.deadline = std::chrono::steady_clock::now() + FREE_PATIENCE;
     Net::HttpCallHandlers handlers;
     handlers.onFailed = [this, service = service, results](Net::CallFailure, const std::string &reason) {
@@ -685,8 +535,7 @@
         if (!record) {
             continue;
         }
-        Gateway::WireCall wire = m_port.freeCall(handles);
-        Net::HttpCallRequest request = targetRequest(*record, std::move(wire));
+        Net::HttpCallRequest request = toCallRequest(record->endpoint, m_port.freeCall(handles));
         request.deadline = std::chrono::steady_clock::now() + FREE_PATIENCE;
         Net::HttpCallHandlers handlers;
         handlers.onFailed = [this, id = target](Net::CallFailure, const std::string &reason) {
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -66,6 +66,7 @@
         std::shared_ptr<Net::HttpCall> call;
     };
 
+    Gateway::OrderId add(const Gateway::PieceOrder &work, DoneHandler done);
     void place(Gateway::OrderId id);
     void placeHere(Gateway::OrderId id);
     void placeAt(const Gateway::Member &owner, Gateway::OrderId id);
--- /dev/null
+++ b/src/app/gateway/piecemessages.cpp
@@ -0,0 +1,121 @@
+#include "piecemessages.h"
+
+namespace CassiaRelay::GatewayDaemon {
+
+namespace {
+
+std::int64_t millisecondsUntil(MonotonicTime time, MonotonicTime now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time - now).count();
+}
+
+Schema::PieceFailureName toName(Gateway::PieceFailure failure)
+{
+    switch (failure) {
+    case Gateway::PieceFailure::Late:
+        return Schema::PieceFailureName::Late;
+    case Gateway::PieceFailure::InputGone:
+        return Schema::PieceFailureName::InputGone;
+    case Gateway::PieceFailure::NoRoom:
+        return Schema::PieceFailureName::NoRoom;
+    case Gateway::PieceFailure::Withdrawn:
+        return Schema::PieceFailureName::Withdrawn;
+    case Gateway::PieceFailure::Failed:
+        break;
+    }
+    return Schema::PieceFailureName::Failed;
+}
+
+Gateway::PieceFailure fromName(Schema::PieceFailureName name)
+{
+    switch (name) {
+    case Schema::PieceFailureName::Late:
+        return Gateway::PieceFailure::Late;
+    case Schema::PieceFailureName::InputGone:
+        return Gateway::PieceFailure::InputGone;
+    case Schema::PieceFailureName::NoRoom:
+        return Gateway::PieceFailure::NoRoom;
+    case Schema::PieceFailureName::Withdrawn:
+        return Gateway::PieceFailure::Withdrawn;
+    case Schema::PieceFailureName::Failed:
+        break;
+    }
+    return Gateway::PieceFailure::Failed;
+}
+
+} // namespace
+
+Schema::PieceOrder toMessage(const Gateway::PieceOrder &work, MonotonicTime now)
+{
+    Schema::PieceOrder message;
+    message.request = work.request.value();
+    message.service = work.service.value();
+    message.stage = static_cast<std::int64_t>(work.stage);
+    message.rank = work.rank;
+    message.patienceMs = millisecondsUntil(work.giveUpAt, now);
+    message.usefulMs = millisecondsUntil(work.usefulUntil, now);
+    message.resultBytes = static_cast<std::int64_t>(work.resultBytes);
+    message.pieceKey = work.inputKey;
+    if (work.preferredDomain) {
+        message.preferredDomain = work.preferredDomain->value();
+    }
+    message.inputs = work.inputs;
+    message.pieces.assign(work.pieces.begin(), work.pieces.end());
+    return message;
+}
+
+Gateway::PieceOrder fromMessage(const Schema::PieceOrder &message, MonotonicTime now)
+{
+    Gateway::PieceOrder work;
+    work.request = RequestId(message.request);
+    work.service = Gateway::ServiceName(message.service);
+    work.stage = static_cast<std::size_t>(message.stage);
+    work.rank = static_cast<int>(message.rank);
+    work.giveUpAt = now + std::chrono::milliseconds(message.patienceMs);
+    work.usefulUntil = now + std::chrono::milliseconds(message.usefulMs);
+    work.resultBytes = static_cast<std::size_t>(message.resultBytes);
+    work.inputKey = message.pieceKey.value_or(std::string());
+    if (message.preferredDomain) {
+        work.preferredDomain = FailureDomain(*message.preferredDomain);
+    }
+    work.inputs = message.inputs.value_or(std::vector<std::string>());
+    work.pieces.assign(message.pieces.begin(), message.pieces.end());
+    return work;
+}
+
+Schema::PieceResults toMessage(const std::vector<Gateway::PieceEnd> &ends)
+{
+    Schema::PieceResults message;
+    for (const Gateway::PieceEnd &end : ends) {
+        Schema::PieceResult result;
+        result.piece = end.piece;
+        std::visit(Overloaded {
+                       [&result](const Gateway::StageResult &made) {
+                           result.handle = made.handle;
+                           result.target = made.target.value();
+                       },
+                       [&result](Gateway::PieceFailure failure) { result.failure = toName(failure); },
+                   },
+                   end.outcome);
+        message.results.push_back(std::move(result));
+    }
+    return message;
+}
+
+std::vector<Gateway::PieceEnd> fromMessage(const Schema::PieceResults &message)
+{
+    std::vector<Gateway::PieceEnd> ends;
+    for (const Schema::PieceResult &result : message.results) {
+        Gateway::PieceEnd end;
+        end.piece = static_cast<int>(result.piece);
+        if (result.handle && result.target) {
+            end.outcome = Gateway::StageResult { *result.handle, TargetId(*result.target) };
+        } else {
+            end.outcome = fromName(result.failure.value_or(Schema::PieceFailureName::Failed));
+        }
+        ends.push_back(std::move(end));
+    }
+    return ends;
+}
+
+} // namespace CassiaRelay::GatewayDaemon
--- /dev/null
+++ b/src/app/gateway/piecemessages.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <gateway/gateway.h>
+#include <schema/schema.h>
+
+namespace CassiaRelay::GatewayDaemon {
+
+/** Times go over the wire as what is left of them, because the clocks of two machines differ. */
+Schema::PieceOrder toMessage(const Gateway::PieceOrder &work, MonotonicTime now);
+Gateway::PieceOrder fromMessage(const Schema::PieceOrder &message, MonotonicTime now);
+
+Schema::PieceResults toMessage(const std::vector<Gateway::PieceEnd> &ends);
+std::vector<Gateway::PieceEnd> fromMessage(const Schema::PieceResults &message);
+
+} // namespace CassiaRelay::GatewayDaemon
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -1,5 +1,6 @@
 #include "relaysession.h"
 
+#include "callrequests.h"
 #include "fieldlist.h"
 #include "refusalresponse.h"
 
@@ -7,8 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds CONNECT_PATIENCE { 300 }; // targets are milliseconds away; a lost opening packet takes a second
-constexpr std::size_t MAX_QUEUED_BYTES = 256 * 1024;          // of a caller that reads slowly
+constexpr std::size_t MAX_QUEUED_BYTES = 256 * 1024; // of a caller that reads slowly
 constexpr std::size_t MAX_STORY_LINES = 32;
 
 Gateway::SendFailure toFailure(Net::CallFailure failure)
@@ -31,17 +31,6 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start).count());
 }
 
-std::vector<Gateway::StageResult> resultsOf(const std::vector<Gateway::PieceEnd> &ends)
-{
-    std::vector<Gateway::StageResult> results;
-    for (const Gateway::PieceEnd &end : ends) {
-        if (const auto *result = std::get_if<Gateway::StageResult>(&end.outcome)) {
-            results.push_back(*result);
-        }
-    }
-    return results;
-}
-
 Net::HttpResponse toResponse(const Gateway::AnswerHead &head)
 {
     Net::HttpResponse response;
@@ -110,7 +99,7 @@
             if (withdrawals == self->m_withdrawals) {
                 self->onStageEnded(stage, ends);
             } else {
-                self->m_services.pieces.free(resultsOf(ends));
+                self->m_services.pieces.free(Gateway::resultsOf(ends));
             }
         });
     };
@@ -119,9 +108,9 @@
 
 void RelaySession::onStageEnded(std::size_t stage, const std::vector<Gateway::PieceEnd> &ends)
 {
-    note("stage ended", "stage=" + std::to_string(stage) + " results=" + std::to_string(resultsOf(ends).size()));
+    note("stage ended", "stage=" + std::to_string(stage) + " results=" + std::to_string(Gateway::resultsOf(ends).size()));
     if (m_machine.isFinished()) {
-        m_services.pieces.free(resultsOf(ends));
+        m_services.pieces.free(Gateway::resultsOf(ends));
         return;
     }
     perform(m_machine.onPieces(stage, ends, std::chrono::steady_clock::now()));
@@ -205,6 +194,11 @@
     finish("refused", action.status, action.reason);
 }
 
+void RelaySession::perform(const Gateway::DropRequest &)
+{
+    finish("caller gone", 0, {});
+}
+
 void RelaySession::perform(const Gateway::WakeAt &action)
 {
     m_timer.expires_at(action.at);
@@ -219,9 +213,6 @@
 void RelaySession::perform(const Gateway::NoteDecision &action)
 {
     note(action.decision, action.inputs);
-    if (m_machine.isFinished() && action.decision == "caller gone") {
-        finish("caller gone", 0, {});
-    }
 }
 
 Net::HttpCallRequest RelaySession::targetRequest(const Gateway::SendRequest &action) const
@@ -241,18 +232,15 @@
         head.urgency = action.urgency;
     }
     head.resumeAfter = action.resumeAfter;
-    Net::HttpCallRequest request;
-    request.address = action.target.endpoint.address;
-    request.port = action.target.endpoint.port;
-    request.method = std::string(message.method_string());
-    request.path = std::string(message.target());
-    request.fields = m_services.port.targetFields(m_callerFields, head);
-    request.body = message.body();
+    Gateway::WireCall call { std::string(message.method_string()),
+                             std::string(message.target()),
+                             m_services.port.targetFields(m_callerFields, head),
+                             message.body() };
+    Net::HttpCallRequest request = toCallRequest(action.target.endpoint, std::move(call));
     request.contentType.clear();
     request.requestIdField = m_services.port.requestIdField();
     request.deadline = action.deadline;
     request.reuseConnection = !action.onNewConnection;
-    request.connectTimeout = CONNECT_PATIENCE;
     return request;
 }
 
--- a/src/app/gateway/relaysession.h
+++ b/src/app/gateway/relaysession.h
@@ -39,6 +39,7 @@
     void perform(const Gateway::EndStream &action);
     void perform(const Gateway::BreakStream &action);
     void perform(const Gateway::RefuseRequest &action);
+    void perform(const Gateway::DropRequest &action);
     void perform(const Gateway::WakeAt &action);
     void perform(const Gateway::NoteDecision &action);
     Net::HttpCallRequest targetRequest(const Gateway::SendRequest &action) const;
--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -1,5 +1,7 @@
 #include "storewatcher.h"
 
+#include "callrequests.h"
+
 namespace CassiaRelay::GatewayDaemon {
 
 namespace {
@@ -66,12 +68,7 @@
 {
     ++m_calls;
     m_reply = {};
-    Net::HttpCallRequest request;
-    request.address = m_store.address;
-    request.port = m_store.port;
-    request.method = std::move(wireCall.method);
-    request.path = std::move(wireCall.path);
-    request.fields = std::move(wireCall.fields);
+    Net::HttpCallRequest request = toCallRequest(m_store, std::move(wireCall));
     request.contentType.clear();
     request.deadline = std::chrono::steady_clock::now() + patience;
     request.connectTimeout = PATIENCE;
--- a/src/libs/common/common.h
+++ b/src/libs/common/common.h
@@ -9,6 +9,7 @@
 #include "error.h"
 #include "hash.h"
 #include "httpfield.h"
+#include "incarnation.h"
 #include "overloaded.h"
 #include "snapshot.h"
 #include "strongid.h"
--- a/src/libs/gateway/catalogue.cpp
+++ b/src/libs/gateway/catalogue.cpp
@@ -144,7 +144,7 @@
 {
     m_doubtful.erase(record.id);
     const auto known = m_targets.find(record.id);
-    if (known != m_targets.end() && known->second.startedAtMs != record.startedAtMs) {
+    if (known != m_targets.end() && known->second.startedAt != record.startedAt) {
         changes.emplace_back(TargetDropped { record.id, true });
     }
     m_targets[record.id] = record;
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -101,15 +101,6 @@
     return members;
 }
 
-std::vector<Endpoint> Members::known() const
-{
-    std::vector<Endpoint> endpoints;
-    for (const auto &[vm, state] : m_members) {
-        endpoints.push_back(state.member.endpoint);
-    }
-    return endpoints;
-}
-
 std::optional<Member> Members::owner(const ServiceName &service) const
 {
     const std::uint64_t seed = stableHash(service.value());
--- a/src/libs/gateway/members.h
+++ b/src/libs/gateway/members.h
@@ -35,7 +35,6 @@
     /** Whom to greet in this round. */
     std::vector<Endpoint> greetingList();
     std::vector<Member> alive() const;
-    std::vector<Endpoint> known() const;
     /** The daemon that gathers the pieces of a service, or nothing when it is this one. */
     std::optional<Member> owner(const ServiceName &service) const;
     void setLeaving();
--- a/src/libs/gateway/piece.h
+++ b/src/libs/gateway/piece.h
@@ -54,4 +54,7 @@
     PieceOutcome outcome;
 };
 
+/** The results among the ends. */
+std::vector<StageResult> resultsOf(const std::vector<PieceEnd> &ends);
+
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/refusal.cpp
+++ b/src/libs/gateway/refusal.cpp
@@ -47,6 +47,8 @@
         return "the request has crashed targets";
     case GiveUpCause::Crowded:
         return "the stages are crowded";
+    case GiveUpCause::NoConfiguration:
+        return "this daemon has no configuration yet";
     case GiveUpCause::ShuttingDown:
         return "this daemon is shutting down";
     }
--- a/src/libs/gateway/refusal.h
+++ b/src/libs/gateway/refusal.h
@@ -16,9 +16,13 @@
     NotAnAnswer, ///< what the target sent is no answer to this request
     Banned,      ///< the request crashes targets
     ShuttingDown,
-    Crowded, ///< the stages would take far longer than the objective
+    NoConfiguration, ///< the daemon has just started
+    Crowded,         ///< the stages would take far longer than the objective
 };
 
+/** A new connection reaches another daemon. */
+inline constexpr std::chrono::milliseconds RETRY_ELSEWHERE { 50 };
+
 /** What is known of the attempts of a request. */
 enum class RunState {
     NotRun,
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -77,6 +77,10 @@
     std::string reason;
 };
 
+/** The caller has gone and nothing is answered; the last action. */
+struct DropRequest {
+};
+
 /** Calls onTimer at that time; replaces an earlier one. */
 struct WakeAt {
     MonotonicTime at;
@@ -99,6 +103,7 @@
                                  EndStream,
                                  BreakStream,
                                  RefuseRequest,
+                                 DropRequest,
                                  WakeAt,
                                  NoteDecision>;
 using RelayActions = std::vector<RelayAction>;
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -20,9 +20,8 @@
 constexpr std::chrono::milliseconds RETRY_SOON { 250 };       // a target that was full has moved on by then
 constexpr std::chrono::milliseconds RETRY_LATER { 1000 };     // time in which a crashed target is replaced in the list
 constexpr std::chrono::milliseconds RETRY_CROWDED { 3000 };   // queues of a burst are gone soon after it
-constexpr int HOPELESS_PERCENT = 150;                       // of the objective: estimates are a mean, and slightly late answers still help
-constexpr std::chrono::milliseconds RETRY_ELSEWHERE { 50 }; // a new connection reaches another daemon
-constexpr std::chrono::seconds RETRY_BANNED { 30 };         // longer than callers keep trying
+constexpr int HOPELESS_PERCENT = 150;               // of the objective: estimates are a mean, and slightly late answers still help
+constexpr std::chrono::seconds RETRY_BANNED { 30 }; // longer than callers keep trying
 constexpr int MAX_URGENCY = 9;
 constexpr int URGENCY_PER_RANK = 2;
 constexpr int URGENCY_OF_LATE = 4;
@@ -196,8 +195,6 @@
         note(actions, "not sent", "target=" + target.value() + " why=" + detail);
         if (++m_unreached < MAX_UNREACHED && now + LEAST_USEFUL_TIME < m_request.endsAt()) {
             send(actions, now);
-        } else if (m_streamStarted) {
-            finish(BreakStream {}, actions);
         } else {
             giveUp(GiveUpCause::TargetUnreachable, detail, RETRY_LATER, actions);
         }
@@ -213,11 +210,7 @@
     case SendFailure::Silent:
         m_runState = RunState::MayHaveRun;
         endAttempt(AttemptResult::Silent, now);
-        if (m_streamStarted) {
-            finish(BreakStream {}, actions);
-        } else {
-            giveUp(GiveUpCause::TimedOut, detail, RETRY_SOON, actions);
-        }
+        giveUp(GiveUpCause::TimedOut, detail, RETRY_SOON, actions);
         break;
     }
     return actions;
@@ -238,11 +231,7 @@
         actions.emplace_back(CancelSend { m_attempt->number });
         endAttempt(AttemptResult::Silent, now);
     }
-    if (m_streamStarted) {
-        finish(BreakStream {}, actions);
-    } else {
-        giveUp(GiveUpCause::TimedOut, {}, RETRY_SOON, actions);
-    }
+    giveUp(GiveUpCause::TimedOut, {}, RETRY_SOON, actions);
     return actions;
 }
 
@@ -256,7 +245,8 @@
         actions.emplace_back(CancelSend { m_attempt->number });
         endAttempt(AttemptResult::Cancelled, now);
     }
-    finish(NoteDecision { "caller gone", "stages_left=" + std::to_string(m_plan.levelsLeft()) }, actions);
+    note(actions, "caller gone", "stages_left=" + std::to_string(m_plan.levelsLeft()));
+    finish(DropRequest {}, actions);
     return actions;
 }
 
@@ -406,15 +396,7 @@
                                 + " cold=" + (chosen.isCold ? "yes" : "no"));
                        sendTo(chosen.record, actions, now);
                    },
-                   [&](const NoTarget &none) {
-                       if (m_fallback && !m_streamStarted) {
-                           finish(PassAnswer { m_fallback->head, m_fallback->body }, actions);
-                       } else if (m_streamStarted) {
-                           finish(BreakStream {}, actions);
-                       } else {
-                           giveUp(GiveUpCause::NoTarget, none.reason, none.retryAfter, actions);
-                       }
-                   },
+                   [&](const NoTarget &none) { fallBackOrGiveUp(GiveUpCause::NoTarget, none.reason, none.retryAfter, actions); },
                },
                m_shared.targets.choose(need(), now));
 }
@@ -553,15 +535,7 @@
         send(actions, now);
         return;
     }
-    if (m_fallback && !m_streamStarted) {
-        finish(PassAnswer { m_fallback->head, m_fallback->body }, actions);
-        return;
-    }
-    if (m_streamStarted) {
-        finish(BreakStream {}, actions);
-        return;
-    }
-    giveUp(GiveUpCause::TargetRefused, "status " + std::to_string(status), RETRY_SOON, actions);
+    fallBackOrGiveUp(GiveUpCause::TargetRefused, "status " + std::to_string(status), RETRY_SOON, actions);
 }
 
 void RelayMachine::onLost(GiveUpCause cause, const std::string &detail, RelayActions &actions, MonotonicTime now)
@@ -575,15 +549,17 @@
         send(actions, now);
         return;
     }
-    if (m_streamStarted) {
-        finish(BreakStream {}, actions);
-        return;
-    }
+    fallBackOrGiveUp(cause, detail, RETRY_SOON, actions);
+}
+
+// An earlier answer of a target is better than none, but not in the middle of a stream.
+void RelayMachine::fallBackOrGiveUp(GiveUpCause cause, const std::string &detail, Duration retryAfter, RelayActions &actions)
+{
     if (m_fallback && !m_streamStarted) {
         finish(PassAnswer { m_fallback->head, m_fallback->body }, actions);
         return;
     }
-    giveUp(cause, detail, RETRY_SOON, actions);
+    giveUp(cause, detail, retryAfter, actions);
 }
 
 void RelayMachine::giveUp(GiveUpCause cause, const std::string &detail, Duration retryAfter, RelayActions &actions)
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -90,6 +90,7 @@
     void onNotRun(RelayActions &actions, MonotonicTime now);
     void onLost(GiveUpCause cause, const std::string &detail, RelayActions &actions, MonotonicTime now);
     void giveUp(GiveUpCause cause, const std::string &detail, Duration retryAfter, RelayActions &actions);
+    void fallBackOrGiveUp(GiveUpCause cause, const std::string &detail, Duration retryAfter, RelayActions &actions);
     void finish(RelayAction last, RelayActions &actions);
     void note(RelayActions &actions, std::string decision, std::string inputs) const;
     Duration jittered(Duration time) const;
--- a/src/libs/gateway/stagepool.cpp
+++ b/src/libs/gateway/stagepool.cpp
@@ -212,21 +212,26 @@
             ++ahead;
         }
     }
-    const std::size_t batch = static_cast<std::size_t>(std::max(1, m_capacity.batch));
+    const std::size_t batch = batchSize();
     const std::size_t calls = ahead / (batch * usable);
     return workTime(batch) * static_cast<int>(calls) + workTime(std::min(batch, ahead / usable + 1));
 }
 
+std::size_t StagePool::batchSize() const
+{
+    return static_cast<std::size_t>(std::max(1, m_capacity.batch));
+}
+
 // Pieces that one round of calls takes.
 std::size_t StagePool::callCapacity(const TargetBook &targets, MonotonicTime now) const
 {
-    return static_cast<std::size_t>(std::max(1, m_capacity.batch)) * targets.usable(m_service, now).size();
+    return batchSize() * targets.usable(m_service, now).size();
 }
 
 // Of a call that takes what waits now.
 Duration StagePool::nextCallTime() const
 {
-    return workTime(std::min(m_waiting.size(), static_cast<std::size_t>(std::max(1, m_capacity.batch))));
+    return workTime(std::min(m_waiting.size(), batchSize()));
 }
 
 Duration StagePool::workTime(std::size_t pieces) const
@@ -259,7 +264,7 @@
     if (!piece.preferredDomain || *piece.preferredDomain == domain) {
         return false;
     }
-    const auto batch = static_cast<std::size_t>(std::max(1, m_capacity.batch));
+    const std::size_t batch = batchSize();
     const bool isCrowded = m_waiting.size() > batch;
     return !isCrowded && now + workTime(batch) * CALLS_TO_SPARE < piece.usefulUntil;
 }
@@ -267,7 +272,7 @@
 std::vector<StagePool::Waiting> StagePool::takeBatch(const TargetRecord &target, MonotonicTime now)
 {
     sortWaiting(now);
-    const auto size = static_cast<std::size_t>(std::max(1, m_capacity.batch));
+    const std::size_t size = batchSize();
     std::size_t room = m_room.freeBytes(target.id);
     std::vector<Waiting> batch;
     std::vector<Waiting> left;
--- a/src/libs/gateway/stagepool.h
+++ b/src/libs/gateway/stagepool.h
@@ -83,6 +83,7 @@
         std::vector<Waiting> pieces;
     };
 
+    std::size_t batchSize() const;
     std::size_t callCapacity(const TargetBook &targets, MonotonicTime now) const;
     Duration nextCallTime() const;
     Duration workTime(std::size_t pieces) const;
--- a/src/libs/gateway/targetbook.cpp
+++ b/src/libs/gateway/targetbook.cpp
@@ -31,7 +31,7 @@
 void TargetBook::put(const TargetRecord &record, MonotonicTime now)
 {
     const auto found = m_targets.find(record.id);
-    const bool isNew = found == m_targets.end() || found->second.record.startedAtMs != record.startedAtMs
+    const bool isNew = found == m_targets.end() || found->second.record.startedAt != record.startedAt
         || found->second.record.endpoint.text() != record.endpoint.text() || found->second.record.service != record.service;
     if (isNew) {
         remove(record.id);
--- a/src/libs/schema/boundedjson.cpp
+++ b/src/libs/schema/boundedjson.cpp
@@ -103,4 +103,11 @@
     return json::from_cbor(bytes);
 }
 
+std::string toCbor(const json &document)
+{
+    std::string bytes;
+    json::to_cbor(document, bytes);
+    return bytes;
+}
+
 } // namespace CassiaRelay::Schema
--- a/src/libs/schema/boundedjson.h
+++ b/src/libs/schema/boundedjson.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <string>
 #include <string_view>
 
 namespace CassiaRelay::Schema {
@@ -21,4 +22,7 @@
  */
 nlohmann::json parseBoundedCbor(std::string_view bytes);
 
+/** CBOR form of a document. */
+std::string toCbor(const nlohmann::json &document);
+
 } // namespace CassiaRelay::Schema
--- a/src/libs/schema/codec.cpp
+++ b/src/libs/schema/codec.cpp
@@ -66,9 +66,7 @@
 {
     json document = json::object();
     std::visit([&document](const auto &body) { document[KIND<std::decay_t<decltype(body)>>] = body; }, message);
-    std::string bytes;
-    json::to_cbor(document, bytes);
-    return bytes;
+    return toCbor(document);
 }
 
 std::optional<PeerMessage> decode(std::string_view bytes)
--- a/tests/auto/gateway/tst_shares.cpp
+++ b/tests/auto/gateway/tst_shares.cpp
@@ -91,6 +91,7 @@
                                      GiveUpCause::NotAnAnswer,
                                      GiveUpCause::Banned,
                                      GiveUpCause::ShuttingDown,
+                                     GiveUpCause::NoConfiguration,
                                      GiveUpCause::Crowded }) {
         const RefuseRequest notRun = refusalFor(cause, RunState::NotRun, seconds(1), {});
         BOOST_TEST(notRun.status == 503U);
