Log what tells the causes of a grown deployment apart

The logs could not tell a reset of a new connection from a crash of the target, nor a full link of the owner of a stage service from a long queue there. response lost tells the time since sending and the kind of connection, stage ordered the owner, configuration adopted the time of the store's response; greetings and orders at owners have metrics.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -122,7 +122,7 @@
     if (settings.peers) {
         m_peerServer = serve(*settings.peers, &GatewayDaemon::handlePeer);
         m_peerGossip = std::make_unique<PeerGossip>(
-            m_context, m_peerClient, settings.vm, *settings.peers, m_members, m_crashes, m_log, [this] { onMembersChanged(); });
+            m_context, m_peerClient, settings.vm, *settings.peers, m_members, m_crashes, m_metrics, m_log, [this] { onMembersChanged(); });
         m_members.setSeeds(settings.seeds);
     }
     m_targets.setVmCount(settings.maxVms);
@@ -219,7 +219,10 @@
 void GatewayDaemon::apply(const Gateway::TableAdopted &change)
 {
     m_log.write("configuration adopted",
-                { { "version", std::to_string(change.table->version()) }, { "revision", std::to_string(m_catalogue.revision()) } },
+                { { "version", std::to_string(change.table->version()) },
+                  { "revision", std::to_string(m_catalogue.revision()) },
+                  { "call_ms",
+                    std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_watcher.lastCallDuration()).count()) } },
                 std::chrono::steady_clock::now());
     m_targets.setServices(change.table->services());
     m_pieceBroker.apply(*change.table);
--- a/src/app/gateway/peergossip.cpp
+++ b/src/app/gateway/peergossip.cpp
@@ -34,6 +34,7 @@
                        Endpoint endpoint,
                        Gateway::Members &members,
                        Gateway::CrashTracker &crashes,
+                       Metrics::Registry &metrics,
                        EventLog &log,
                        ChangeHandler onChange)
     : m_client(client)
@@ -43,6 +44,8 @@
     , m_members(members)
     , m_crashes(crashes)
     , m_log(log)
+    , m_sentCounter(metrics.counter("cassiarelay_greetings_sent_total"))
+    , m_byteCounter(metrics.counter("cassiarelay_greeting_bytes_sent_total"))
     , m_onChange(std::move(onChange))
     , m_timer(context)
 {
@@ -75,6 +78,7 @@
     try {
         onGreeting(exchange->request().body());
         response.body = localGreeting();
+        m_byteCounter.add(response.body.size());
     } catch (const std::exception &error) {
         m_log.write("invalid greeting", { { "reason", error.what() } }, std::chrono::steady_clock::now());
         response.status = 400;
@@ -110,7 +114,10 @@
     if (!m_pendingGreetings.insert(key).second) {
         return;
     }
-    Net::HttpCallRequest request = peerRequest(endpoint, PATH, localGreeting());
+    std::string greeting = localGreeting();
+    m_sentCounter.add();
+    m_byteCounter.add(greeting.size());
+    Net::HttpCallRequest request = peerRequest(endpoint, PATH, std::move(greeting));
     request.deadline = std::chrono::steady_clock::now() + GREETING_REQUEST_TIMEOUT;
     request.connectTimeout = GREETING_REQUEST_TIMEOUT;
     auto body = std::make_shared<std::string>();
--- a/src/app/gateway/peergossip.h
+++ b/src/app/gateway/peergossip.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <gateway/gateway.h>
+#include <metrics/metrics.h>
 #include <net/net.h>
 
 #include <functional>
@@ -24,6 +25,7 @@
                Endpoint endpoint,
                Gateway::Members &members,
                Gateway::CrashTracker &crashes,
+               Metrics::Registry &metrics,
                EventLog &log,
                ChangeHandler onChange);
 
@@ -49,6 +51,8 @@
     Gateway::Members &m_members;
     Gateway::CrashTracker &m_crashes;
     EventLog &m_log;
+    Metrics::Counter &m_sentCounter;
+    Metrics::Counter &m_byteCounter; ///< sent with greetings and responses to greetings
     ChangeHandler m_onChange;
     boost::asio::steady_timer m_timer;
     std::set<std::string> m_pendingGreetings; ///< addresses with an unanswered greeting
--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -72,6 +72,7 @@
     , m_failedCallCounter(metrics.counter("cassiarelay_stage_calls_failed_total"))
     , m_forwardedOrderCounter(metrics.counter("cassiarelay_piece_orders_sent_to_owner_total"))
     , m_callTime(metrics.histogram("cassiarelay_stage_call_seconds"))
+    , m_ownerResponseTime(metrics.histogram("cassiarelay_piece_order_seconds"))
     , m_dispatchTimer(context)
     , m_freeTimer(context)
 {
@@ -113,6 +114,12 @@
     free(Gateway::successfulResults(order.completions));
 }
 
+std::optional<VmId> PieceBroker::ownerOf(Gateway::OrderId id) const
+{
+    const auto order = m_orders.find(id);
+    return order == m_orders.end() ? std::nullopt : order->second.owner;
+}
+
 void PieceBroker::free(const std::vector<Gateway::StageResult> &results)
 {
     // A target that is no longer listed has lost its results anyway.
@@ -270,6 +277,7 @@
     const MonotonicTime now = std::chrono::steady_clock::now();
     PendingOrder &order = m_orders.at(id);
     order.owner = owner.vm;
+    order.sentAt = now;
     m_forwardedOrderCounter.add();
     Net::HttpCallRequest request = peerRequest(owner.endpoint, ORDERS_PATH, Schema::toCbor(toMessage(order.pieceOrder, now)));
     request.deadline = std::max(order.pieceOrder.hardDeadline, now) + OWNER_RESPONSE_MARGIN;
@@ -299,6 +307,7 @@
         onOwnerFailed(id, error.what());
         return;
     }
+    m_ownerResponseTime.record(std::chrono::steady_clock::now() - order->second.sentAt);
     finish(id);
 }
 
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -37,6 +37,8 @@
     /** @param onDone called once, unless the order is withdrawn */
     Gateway::OrderId submit(const Gateway::PieceOrder &pieceOrder, DoneHandler onDone);
     void withdraw(Gateway::OrderId id);
+    /** The daemon that schedules the pieces of an open order; no value if it is this daemon or the order has ended. */
+    std::optional<VmId> ownerOf(Gateway::OrderId id) const;
     /** Frees results that are no longer needed. */
     void free(const std::vector<Gateway::StageResult> &results);
     /** Handles a piece order of another daemon. */
@@ -64,6 +66,7 @@
         std::size_t openPieces = 0;
         std::optional<VmId> owner; ///< not set if this daemon schedules the pieces
         std::shared_ptr<Net::HttpCall> call;
+        MonotonicTime sentAt; ///< to the owner
     };
 
     Gateway::OrderId add(const Gateway::PieceOrder &pieceOrder, DoneHandler onDone);
@@ -105,6 +108,7 @@
     Metrics::Counter &m_failedCallCounter;
     Metrics::Counter &m_forwardedOrderCounter;
     Metrics::Histogram &m_callTime;
+    Metrics::Histogram &m_ownerResponseTime;
     std::map<Gateway::ServiceName, Gateway::StageScheduler> m_schedulers;
     std::unordered_map<Gateway::ServiceName, Gateway::PieceCapacity> m_capacities;
     std::map<Gateway::OrderId, PendingOrder> m_orders;
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -92,7 +92,6 @@
 void RelaySession::perform(const Gateway::OrderPieces &action)
 {
     const std::size_t stage = action.order.stage;
-    addTraceLine("stage ordered", "stage=" + std::to_string(stage) + " pieces=" + std::to_string(action.order.pieces.size()));
     // The completion is posted because the order may finish within submit(), before its id is known and it can be withdrawn.
     const auto onDone =
         [self = shared_from_this(), stage, withdrawals = m_withdrawals](const std::vector<Gateway::PieceCompletion> &completions) {
@@ -104,7 +103,12 @@
                 }
             });
         };
-    m_orders.push_back(m_services.pieceBroker.submit(action.order, onDone));
+    const Gateway::OrderId id = m_services.pieceBroker.submit(action.order, onDone);
+    const std::optional<VmId> owner = m_services.pieceBroker.ownerOf(id);
+    addTraceLine("stage ordered",
+                 "stage=" + std::to_string(stage) + " pieces=" + std::to_string(action.order.pieces.size())
+                     + " owner=" + (owner ? owner->value() : "self"));
+    m_orders.push_back(id);
 }
 
 void RelaySession::onStageFinished(std::size_t stage, const std::vector<Gateway::PieceCompletion> &completions)
--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -53,6 +53,11 @@
     return m_calls;
 }
 
+Duration StoreWatcher::lastCallDuration() const
+{
+    return m_lastCallDuration;
+}
+
 void StoreWatcher::list()
 {
     sendCall(m_port.listRequest(m_nextAfter), LIST_TIMEOUT, [this] { onPage(); });
@@ -68,9 +73,10 @@
 {
     ++m_calls;
     m_reply = {};
+    m_callStartedAt = std::chrono::steady_clock::now();
     Net::HttpCallRequest request = toCallRequest(m_store, std::move(platformRequest));
     request.contentType.clear();
-    request.deadline = std::chrono::steady_clock::now() + timeout;
+    request.deadline = m_callStartedAt + timeout;
     request.connectTimeout = RESPONSE_TIMEOUT;
     Net::HttpCallHandlers handlers;
     handlers.onHead = [this](const Net::HttpCallHead &head) { m_reply.status = head.status; };
@@ -155,6 +161,7 @@
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
     m_failures = 0;
+    m_lastCallDuration = now - m_callStartedAt;
     m_catalogue.setStoreAvailable();
     if (std::exchange(m_isStoreLost, false)) {
         m_log.write("store regained", { { "revision", std::to_string(m_catalogue.revision()) } }, now);
--- a/src/app/gateway/storewatcher.h
+++ b/src/app/gateway/storewatcher.h
@@ -33,6 +33,8 @@
     void start();
     void stop();
     std::uint64_t calls() const;
+    /** Time that the last response took; a watch waits for changes during a part of it. */
+    Duration lastCallDuration() const;
 
 private:
     /** The part of the response to the current call that has been received so far. */
@@ -64,6 +66,8 @@
     std::int64_t m_listedRevision = 0;                ///< revision of the first page; the watch reports later changes
     std::string m_nextAfter;
     MonotonicTime m_watchStartedAt;
+    MonotonicTime m_callStartedAt;
+    Duration m_lastCallDuration {};
     bool m_isListed = false;
     bool m_isStoreLost = false;
     int m_failures = 0;
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -572,10 +572,11 @@
 void RelayMachine::onResponseLost(GiveUpCause cause, const std::string &detail, RelayActions &actions, MonotonicTime now)
 {
     m_runState = RunState::MayHaveRun;
-    const TargetId target = m_attempt->target.id;
+    const std::string inputs = "target=" + m_attempt->target.id.value() + " since_sent_ms=" + millisecondsText(now - m_attempt->sentAt)
+        + " connection=" + (m_request.route->isRepeatable() ? "any" : "new") + " why=" + detail;
     endAttempt(AttemptResult::Broken, now);
     m_framer.discardPartialEvent();
-    logDecision(actions, "response lost", "target=" + target.value() + " why=" + detail);
+    logDecision(actions, "response lost", inputs);
     if (m_request.route->isRepeatable() && tryAcquireRetry(now)) {
         send(actions, now);
         return;
