Share the connections of a target among all daemons

Cause: each daemon kept up to four idle connections to a target, whatever the target accepts of all callers together and however many daemons there are, and a request that may run once always opens one more. 63 daemons kept up to 252 at a target that accepts 100; the target resets what is beyond, and such a request can't be sent again. With six daemons it was 24 of 48. Change: the published limit of a service is read; the idle connections of all daemons together stay below half of it, and a connection beyond is closed after its call. Where the share is below one connection, none is kept.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds RESPONSE_RESERVE { 900 };   // to send final responses to unfinished requests
 constexpr std::chrono::milliseconds SILENCE_LIMIT { 2000 };     // latency is a few milliseconds; lost packets are retransmitted within 1 s
 constexpr std::chrono::milliseconds MAX_IDLE_TIME { 10000 };
-constexpr std::size_t MAX_IDLE_PER_TARGET = 4; // the connection limit of a target is shared by all daemons
+constexpr std::size_t MAX_IDLE_PER_TARGET = 4; // TargetRegistry lowers it where many daemons share the connections of a target
 constexpr std::size_t MAX_IDLE_PER_PEER = 16;
 
 Net::HttpClientLimits clientLimits(std::size_t idlePerServer)
--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -365,6 +365,7 @@
     m_pieceCounter.add(call.items.size());
     Net::HttpCallRequest request = toCallRequest(call.target.endpoint, m_port.stageRequest(call, now));
     request.deadline = call.timeoutAt;
+    request.maxIdleConnections = m_targets.maxIdleConnections(service);
     struct Reply {
         Gateway::StageCall call;
         Gateway::TargetResponse response;
@@ -551,6 +552,7 @@
         }
         Net::HttpCallRequest request = toCallRequest(record->endpoint, m_port.freeRequest(handles));
         request.deadline = std::chrono::steady_clock::now() + FREE_TIMEOUT;
+        request.maxIdleConnections = m_targets.maxIdleConnections(record->service);
         Net::HttpCallHandlers handlers;
         handlers.onFinished = [this, service = record->service, freed = std::move(freed)] { onFreed(service, freed); };
         handlers.onFailed = [this, id = target](Net::CallFailure, const std::string &reason) {
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -247,6 +247,7 @@
     request.requestIdField = m_services.port.requestIdField();
     request.deadline = action.deadline;
     request.reuseConnection = !action.onNewConnection;
+    request.maxIdleConnections = action.maxIdleConnections;
     return request;
 }
 
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -41,6 +41,7 @@
     std::optional<std::string> resumeAfter;
     int enginePriority = 0;
     bool onNewConnection = false; ///< no reuse: the target might close an idle connection just as the request is sent
+    std::size_t maxIdleConnections = 0; ///< to this target, after the response
 };
 
 /** Closes the connection of the attempt. */
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -439,6 +439,7 @@
     send.enginePriority =
         std::clamp(m_request.rank() * ENGINE_PRIORITY_PER_RANK + (isLate ? LATE_ENGINE_PRIORITY_OFFSET : 0), 0, MAX_ENGINE_PRIORITY);
     send.onNewConnection = !m_request.route->isRepeatable();
+    send.maxIdleConnections = m_context.targets.maxIdleConnections(target.service);
     actions.emplace_back(std::move(send));
 }
 
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds REPORTED_LOAD_LIFETIME { 1000 }; // half of the running requests of a target end within about this time
 constexpr std::chrono::milliseconds NO_TARGET_RETRY { 1000 };        // a crashed target is usually back after seconds
 constexpr std::chrono::milliseconds COLD_RETRY { 500 };              // half of the window in which cold starts are counted
+constexpr std::size_t MAX_IDLE_CONNECTIONS = 4;                      // more are rarely reused before they expire
+constexpr double IDLE_CONNECTION_SHARE = 0.5;                        // the rest is for connections in use; a target with a long queue accepts fewer
 constexpr double COLD_RATE_SAFETY_FACTOR = 0.8;                      // requests sent within one second may arrive within a shorter time
 
 } // namespace
@@ -203,6 +205,17 @@
     return m_targets.size();
 }
 
+// All daemons together keep at most a fixed share of the connections that a target accepts, however many daemons there are.
+std::size_t TargetRegistry::maxIdleConnections(const ServiceName &service) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end() || !found->second.maxConnections) {
+        return MAX_IDLE_CONNECTIONS;
+    }
+    const double share = IDLE_CONNECTION_SHARE * std::max(0, *found->second.maxConnections) / m_vmCount;
+    return std::min(MAX_IDLE_CONNECTIONS, static_cast<std::size_t>(share));
+}
+
 bool TargetRegistry::isAllowed(const Target &target, const std::vector<Region> &regions) const
 {
     if (target.record.isLeaving || m_disabledDomains.count(target.record.failureDomain) > 0) {
--- a/src/libs/gateway/targetregistry.h
+++ b/src/libs/gateway/targetregistry.h
@@ -61,7 +61,7 @@
     void setDomainDisabled(const FailureDomain &domain, bool isDisabled);
     void setServices(const std::vector<Service> &services);
     void setColdLimits(ColdLimits limits);
-    /** Sets the number of VMs whose daemons share the rate limit of cold targets. */
+    /** Sets the number of VMs whose daemons share the rate limit of cold targets and the connections of each target. */
     void setVmCount(int vmCount);
 
     /** Selects a target and counts the attempt as running there until finishAttempt(). */
@@ -83,6 +83,8 @@
     /** Returns the recent mean response time of the target, or 0 if it is unknown. */
     Duration latency(const TargetId &id) const;
     std::size_t size() const;
+    /** Returns how many idle connections this daemon may keep to one target of the service. */
+    std::size_t maxIdleConnections(const ServiceName &service) const;
 
 private:
     struct Target {
--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -101,12 +101,15 @@
         return nullptr;
     }
 
-    void giveBack(const std::string &server, std::unique_ptr<Stream> stream, std::optional<std::chrono::seconds> stated)
+    void giveBack(const std::string &server,
+                  std::unique_ptr<Stream> stream,
+                  std::optional<std::chrono::seconds> stated,
+                  std::size_t maxIdleConnections)
     {
         const Duration usable = stated ? std::min<Duration>(*stated - IDLE_SAFETY, m_limits.maxIdleTime) : m_limits.maxIdleTime;
         const std::lock_guard lock(m_mutex);
         std::vector<IdleConnection> &idle = m_idle[server];
-        if (usable > Duration::zero() && idle.size() < m_limits.maxIdlePerServer) {
+        if (usable > Duration::zero() && idle.size() < std::min(m_limits.maxIdlePerServer, maxIdleConnections)) {
             idle.push_back({ std::move(stream), std::chrono::steady_clock::now() + usable });
         }
     }
@@ -382,7 +385,7 @@
         m_deadlineTimer.cancel();
         // Bytes after the response belong to none, and those of an unread request to the next: the connection is out of step.
         if (m_parser->get().keep_alive() && m_buffer.size() == 0 && m_written) {
-            m_pool->giveBack(m_server, std::move(m_stream), statedIdleTime(m_parser->get().base()));
+            m_pool->giveBack(m_server, std::move(m_stream), statedIdleTime(m_parser->get().base()), m_request.maxIdleConnections);
         } else {
             closeStream();
         }
--- a/src/libs/net/httpclient.h
+++ b/src/libs/net/httpclient.h
@@ -6,6 +6,7 @@
 #include <common/common.h>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
     MonotonicTime sendBefore = MonotonicTime::max();
     /** False opens a new connection, so that a failed connect proves that nothing was sent. */
     bool reuseConnection = true;
+    /** The connection is closed after the call when this many to the server are idle; the limit of the client applies as well. */
+    std::size_t maxIdleConnections = std::numeric_limits<std::size_t>::max();
     /** Empty when the fields hold one, or there is no body. */
     std::string contentType = "application/json";
     /** Servers that echo this field show which request they answer. */
--- a/tests/auto/gateway/tst_targetregistry.cpp
+++ b/tests/auto/gateway/tst_targetregistry.cpp
@@ -125,6 +125,36 @@
     BOOST_TEST(static_cast<double>(maxPerSecond) <= RATE * FACTOR + SLACK);
 }
 
+// Regression: 63 daemons with four idle connections each exceeded the 100 connections of a target, which reset the others.
+BOOST_AUTO_TEST_CASE(idleConnectionsOfAllDaemonsLeaveRoomForOthers)
+{
+    Service service;
+    service.name = ServiceName("engine");
+    for (const int accepted : { 0, 48, 100, 270, 600 }) {
+        service.maxConnections = accepted;
+        for (const int vms : { 1, 6, 12, 63, 81, 380 }) {
+            TargetRegistry targets({}, {}, 1);
+            targets.setServices({ service });
+            targets.setVmCount(vms);
+            const std::size_t idle = targets.maxIdleConnections(service.name) * static_cast<std::size_t>(vms);
+            BOOST_TEST(idle * 2 <= static_cast<std::size_t>(accepted), accepted << " connections, " << vms << " VMs");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(fewDaemonsKeepIdleConnections)
+{
+    Service service;
+    service.name = ServiceName("engine");
+    TargetRegistry targets({}, {}, 1);
+    targets.setVmCount(12);
+    targets.setServices({ service });
+    BOOST_TEST(targets.maxIdleConnections(service.name) > 0U);
+    service.maxConnections = 500;
+    targets.setServices({ service });
+    BOOST_TEST(targets.maxIdleConnections(service.name) > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(sharesBelowOneRequestPerSecondArePaced)
 {
     Service service;
--- a/tests/auto/net/tst_targetclient.cpp
+++ b/tests/auto/net/tst_targetclient.cpp
@@ -191,6 +191,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(connectionsBeyondTheLimitOfTheCallAreClosed)
+{
+    RawTarget target("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", false);
+    Context context;
+    Net::HttpClient http(context.get());
+    const auto callOnce = [&](std::size_t maxIdleConnections) {
+        std::promise<void> finished;
+        Net::HttpCallRequest call;
+        call.address = "127.0.0.1";
+        call.port = target.port();
+        call.maxIdleConnections = maxIdleConnections;
+        Net::HttpCallHandlers handlers;
+        handlers.onFinished = [&finished] { finished.set_value(); };
+        const auto running = http.send(call, handlers);
+        finished.get_future().get();
+    };
+    callOnce(0);
+    callOnce(1);
+    BOOST_TEST(target.accepted() == 2U);
+    callOnce(0);
+    BOOST_TEST(target.accepted() == 2U);
+    callOnce(1);
+    BOOST_TEST(target.accepted() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(nothingIsSentTooLate)
 {
     std::atomic<int> handled { 0 };
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -146,6 +146,7 @@
               { "stages", { { { "service", "s" }, { "after", json::array() }, { "bytes", 800000 } } } } } } },
         { "services",
           { { { "name", "s" },
+              { "maxConns", 270 },
               { "pieces", { { "batch", 14 }, { "callMs", 240.0 }, { "itemMs", 15.5 }, { "headroomMb", 17.0 }, { "handleS", 4.0 } } } } } },
         { "limits", { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 4194304 }, { "headerTimeoutMs", 3000 }, { "idleTimeoutMs", 15000 } } },
         { "tenants", { { { "name", "clinic" }, { "apiKeys", { "k" } }, { "priority", 1 } } } }
@@ -161,6 +162,7 @@
     BOOST_TEST(route.stages.at(0).resultBytes == 800000U);
     BOOST_TEST((configuration.services.at(0).pieces->perPiece == std::chrono::microseconds(15500)));
     BOOST_TEST(configuration.services.at(0).pieces->resultBytes == 17000000U);
+    BOOST_TEST(configuration.services.at(0).maxConnections.value_or(0) == 270);
     BOOST_TEST(configuration.limits.idleTimeout.count() == 15000);
     BOOST_TEST(configuration.organisations.at(0).rank.value_or(0) == 1);
 
