Bound the greetings between daemons in a large fleet

Cause: each daemon exchanged greetings with each other one every 300 ms, and each greeting listed all daemons. With 81 it was 267 exchanges a second of about 1.5 kB each way on VMs of 0.12 cores and 10 Mbit/s: a cost per daemon that grows with the square of the fleet. Change: a round greets at most eight known daemons, those heard longest ago, and eight addresses only heard of; the list of daemons is left out when the receiver has reported the hash of the same one. A daemon is known for longer where a round does not reach all. One that has an order of this daemon is followed: greeted each round and lost after a second of silence, so that orders move as fast as before. With up to nine daemons a round still reaches all. Tests: without the bound greetingsOfARoundDoNotGrowWithTheFleet fails. The tests of members pass the time to endpointsToGreet; they check as much as before.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -91,7 +91,7 @@
     , m_targets(toColdLimits(settings), toRegions(settings), stableHash(settings.vm.value()))
     , m_retries(toRetryLimits(settings))
     , m_relayContext { m_targets, m_retries, m_crashes, m_stageLatencyEstimator, settings.maxVms }
-    , m_members(settings.vm, settings.peers.value_or(settings.callers))
+    , m_members(settings.vm, settings.peers.value_or(settings.callers), settings.capacity)
     , m_pieceBroker(m_context, m_targetClient, m_peerClient, port, m_targets, m_members, m_metrics, m_log)
     , m_services { m_context, m_targetClient, port, m_catalogue, m_relayContext, m_pieceBroker, m_metrics, m_log }
     , m_requestDispatcher(m_services)
@@ -122,7 +122,9 @@
     if (settings.peers) {
         m_peerServer = serve(*settings.peers, &GatewayDaemon::handlePeer);
         m_peerGossip = std::make_unique<PeerGossip>(
-            m_context, m_peerClient, settings.vm, *settings.peers, m_members, m_crashes, m_metrics, m_log, [this] { onMembersChanged(); });
+            m_context, m_peerClient, settings.vm, *settings.peers, settings.capacity, m_members, m_crashes, m_metrics, m_log, [this] {
+                onMembersChanged();
+            });
         m_members.setSeeds(settings.seeds);
     }
     m_targets.setVmCount(settings.maxVms);
@@ -218,12 +220,12 @@
 
 void GatewayDaemon::apply(const Gateway::TableAdopted &change)
 {
-    m_log.write("configuration adopted",
-                { { "version", std::to_string(change.table->version()) },
-                  { "revision", std::to_string(m_catalogue.revision()) },
-                  { "call_ms",
-                    std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_watcher.lastCallDuration()).count()) } },
-                std::chrono::steady_clock::now());
+    m_log.write(
+        "configuration adopted",
+        { { "version", std::to_string(change.table->version()) },
+          { "revision", std::to_string(m_catalogue.revision()) },
+          { "call_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(m_watcher.lastCallDuration()).count()) } },
+        std::chrono::steady_clock::now());
     m_targets.setServices(change.table->services());
     m_pieceBroker.apply(*change.table);
     m_callerServer->setLimits(toServerLimits(change.table->limits()));
--- a/src/app/gateway/peergossip.cpp
+++ b/src/app/gateway/peergossip.cpp
@@ -32,6 +32,7 @@
                        Net::HttpClient &client,
                        VmId self,
                        Endpoint endpoint,
+                       double capacity,
                        Gateway::Members &members,
                        Gateway::CrashTracker &crashes,
                        Metrics::Registry &metrics,
@@ -40,6 +41,7 @@
     : m_client(client)
     , m_self(std::move(self))
     , m_endpoint(std::move(endpoint))
+    , m_capacity(capacity)
     , m_incarnation(newIncarnation())
     , m_members(members)
     , m_crashes(crashes)
@@ -76,8 +78,7 @@
     Net::HttpResponse response;
     response.contentType = "application/cbor";
     try {
-        onGreeting(exchange->request().body());
-        response.body = localGreeting();
+        response.body = localGreeting(onGreeting(exchange->request().body()));
         m_byteCounter.add(response.body.size());
     } catch (const std::exception &error) {
         m_log.write("invalid greeting", { { "reason", error.what() } }, std::chrono::steady_clock::now());
@@ -94,7 +95,7 @@
         m_log.write("peer lost", { { "vm", member.vm.value() }, { "address", member.endpoint.text() } }, now);
     }
     m_crashes.removeExpired(now);
-    for (const Endpoint &endpoint : m_members.endpointsToGreet()) {
+    for (const Endpoint &endpoint : m_members.endpointsToGreet(now)) {
         sendGreeting(endpoint);
     }
     if (!lost.empty()) {
@@ -114,7 +115,7 @@
     if (!m_pendingGreetings.insert(key).second) {
         return;
     }
-    std::string greeting = localGreeting();
+    std::string greeting = localGreeting(endpoint);
     m_sentCounter.add();
     m_byteCounter.add(greeting.size());
     Net::HttpCallRequest request = peerRequest(endpoint, PATH, std::move(greeting));
@@ -135,15 +136,19 @@
     m_client.send(std::move(request), std::move(handlers));
 }
 
-std::string PeerGossip::localGreeting() const
+std::string PeerGossip::localGreeting(const Endpoint &receiver) const
 {
     Schema::Greeting greeting;
     greeting.vm = m_self.value();
     greeting.address = m_endpoint.text();
     greeting.incarnation = static_cast<std::int64_t>(m_incarnation.value());
     greeting.leaving = m_isLeaving;
-    for (const Gateway::Member &member : m_members.alive()) {
-        greeting.known.push_back(member.endpoint.text());
+    greeting.capacity = m_capacity;
+    greeting.knownHash = static_cast<std::int64_t>(m_members.knownDaemonsHash());
+    if (!m_members.knowsSameDaemons(receiver)) {
+        for (const Gateway::Member &member : m_members.alive()) {
+            greeting.known.push_back(member.endpoint.text());
+        }
     }
     for (const Gateway::CrashCount &count : m_crashes.localCounts(std::chrono::steady_clock::now())) {
         greeting.crashes.push_back({ count.crashes, toHex(count.fingerprint) });
@@ -151,11 +156,15 @@
     return Schema::toCbor(greeting);
 }
 
-void PeerGossip::onGreeting(std::string_view bytes)
+Endpoint PeerGossip::onGreeting(std::string_view bytes)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
     const auto greeting = Schema::parseBoundedCbor(bytes).get<Schema::Greeting>();
     Gateway::Member member { VmId(greeting.vm), Endpoint::parse(greeting.address), greeting.incarnation, greeting.leaving };
+    member.capacity = greeting.capacity.value_or(member.capacity);
+    if (greeting.knownHash) {
+        member.knownDaemonsHash = static_cast<std::uint64_t>(*greeting.knownHash);
+    }
     std::vector<Endpoint> known;
     for (const std::string &address : greeting.known) {
         known.push_back(Endpoint::parse(address));
@@ -174,6 +183,7 @@
                     now);
         m_onChange();
     }
+    return member.endpoint;
 }
 
 } // namespace CassiaRelay::GatewayDaemon
--- a/src/app/gateway/peergossip.h
+++ b/src/app/gateway/peergossip.h
@@ -23,6 +23,7 @@
                Net::HttpClient &client,
                VmId self,
                Endpoint endpoint,
+               double capacity,
                Gateway::Members &members,
                Gateway::CrashTracker &crashes,
                Metrics::Registry &metrics,
@@ -41,12 +42,15 @@
 private:
     void sendGreetings();
     void sendGreeting(const Endpoint &endpoint);
-    std::string localGreeting() const;
-    void onGreeting(std::string_view bytes);
+    /** @param receiver the list of known daemons is left out if this daemon has the same one */
+    std::string localGreeting(const Endpoint &receiver) const;
+    /** Returns the address of the sender. */
+    Endpoint onGreeting(std::string_view bytes);
 
     Net::HttpClient &m_client;
     VmId m_self;
     Endpoint m_endpoint;
+    double m_capacity;
     Incarnation m_incarnation;
     Gateway::Members &m_members;
     Gateway::CrashTracker &m_crashes;
--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -278,6 +278,7 @@
     PendingOrder &order = m_orders.at(id);
     order.owner = owner.vm;
     order.sentAt = now;
+    m_members.follow(owner.vm, now);
     m_forwardedOrderCounter.add();
     Net::HttpCallRequest request = peerRequest(owner.endpoint, ORDERS_PATH, Schema::toCbor(toMessage(order.pieceOrder, now)));
     request.deadline = std::max(order.pieceOrder.hardDeadline, now) + OWNER_RESPONSE_MARGIN;
@@ -307,7 +308,11 @@
         onOwnerFailed(id, error.what());
         return;
     }
-    m_ownerResponseTime.record(std::chrono::steady_clock::now() - order->second.sentAt);
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    m_ownerResponseTime.record(now - order->second.sentAt);
+    if (order->second.owner) {
+        m_members.onHeard(*order->second.owner, now);
+    }
     finish(id);
 }
 
--- a/src/libs/gateway/configuration.h
+++ b/src/libs/gateway/configuration.h
@@ -71,7 +71,7 @@
 
 struct Service {
     ServiceName name;
-    double coldRate = 0; ///< requests per second that a cold target can handle; 0: targets are never cold
+    double coldRate = 0;               ///< requests per second that a cold target can handle; 0: targets are never cold
     std::optional<int> maxConnections; ///< that one target accepts from all daemons together; more are reset
     std::optional<PieceCapacity> pieces;
 };
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -1,18 +1,24 @@
 #include "members.h"
 
+#include <algorithm>
+
 namespace CassiaRelay::Gateway {
 
 namespace {
 
 constexpr std::chrono::milliseconds GREETING_TIMEOUT { 1000 };     // three missed greetings
+constexpr std::chrono::milliseconds RECENTLY_HEARD { 150 };        // half a round; the other daemon has just sent its greeting
+constexpr std::size_t GREETINGS_PER_ROUND = 8;                     // all others in a cell; a tenth of the fleet with 81 daemons
+constexpr std::chrono::milliseconds FOLLOW_TIME { 2000 };          // longer than a stage takes
 constexpr std::chrono::milliseconds FAILED_OWNER_BACKOFF { 1000 }; // a stopped daemon is detected within this time
 constexpr std::chrono::seconds CANDIDATE_LIFETIME { 10 };          // a restarted VM is back within seconds
 
 } // namespace
 
-Members::Members(VmId self, Endpoint endpoint)
+Members::Members(VmId self, Endpoint endpoint, double capacity)
     : m_self(std::move(self))
     , m_endpoint(std::move(endpoint))
+    , m_capacity(capacity)
 {
 }
 
@@ -42,7 +48,8 @@
     }
     const auto found = m_members.find(member.vm);
     if (found == m_members.end()) {
-        m_members.emplace(member.vm, State { member, now, {} });
+        m_members.emplace(member.vm, State { member, now });
+        updateMaxKnownCount();
         return true;
     }
     State &state = found->second;
@@ -59,7 +66,7 @@
 {
     std::vector<Member> gone;
     for (auto state = m_members.begin(); state != m_members.end();) {
-        if (state->second.heardAt + GREETING_TIMEOUT > now) {
+        if (std::max(state->second.heardAt, state->second.followedSince) + greetingTimeout(state->second, now) > now) {
             ++state;
             continue;
         }
@@ -74,23 +81,48 @@
     return gone;
 }
 
-std::vector<Endpoint> Members::endpointsToGreet()
+// Chooses those that have not been heard or greeted for the longest time. A response carries the same information as a greeting, so a
+// daemon that has just been heard is not greeted.
+std::vector<Endpoint> Members::endpointsToGreet(MonotonicTime now)
 {
-    std::vector<Endpoint> list;
-    std::set<std::string> listed;
-    for (const auto &[vm, state] : m_members) {
-        listed.insert(state.member.endpoint.text());
-        // Of two daemons, the one with the lower id sends the greeting; the response carries the same information.
-        if (m_self < vm || m_isLeaving) {
-            list.push_back(state.member.endpoint);
+    std::vector<Endpoint> endpoints;
+    std::vector<State *> waiting;
+    std::set<std::string> memberAddresses;
+    for (auto &[vm, state] : m_members) {
+        memberAddresses.insert(state.member.endpoint.text());
+        if (state.heardAt + RECENTLY_HEARD > now && !m_isLeaving) {
+            continue;
         }
+        if (state.followedUntil > now) {
+            state.greetedAt = now;
+            endpoints.push_back(state.member.endpoint);
+            continue;
+        }
+        waiting.push_back(&state);
+    }
+    std::stable_sort(waiting.begin(), waiting.end(), [](const State *left, const State *right) {
+        return std::max(left->heardAt, left->greetedAt) < std::max(right->heardAt, right->greetedAt);
+    });
+    waiting.resize(std::min(waiting.size(), GREETINGS_PER_ROUND));
+    for (State *state : waiting) {
+        state->greetedAt = now;
+        endpoints.push_back(state->member.endpoint);
     }
-    for (const auto &[key, candidate] : m_candidates) {
-        if (listed.count(key) == 0) {
-            list.push_back(candidate.endpoint);
+    std::vector<Candidate *> candidates;
+    for (auto &[address, candidate] : m_candidates) {
+        if (memberAddresses.count(address) == 0) {
+            candidates.push_back(&candidate);
         }
     }
-    return list;
+    std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate *left, const Candidate *right) {
+        return left->greetedAt < right->greetedAt;
+    });
+    candidates.resize(std::min(candidates.size(), GREETINGS_PER_ROUND));
+    for (Candidate *candidate : candidates) {
+        candidate->greetedAt = now;
+        endpoints.push_back(candidate->endpoint);
+    }
+    return endpoints;
 }
 
 std::vector<Member> Members::alive() const
@@ -102,6 +134,44 @@
     return members;
 }
 
+std::uint64_t Members::knownDaemonsHash() const
+{
+    std::uint64_t hash = stableHash(m_endpoint.text());
+    for (const auto &[vm, state] : m_members) {
+        hash ^= stableHash(state.member.endpoint.text());
+    }
+    return hash;
+}
+
+bool Members::knowsSameDaemons(const Endpoint &endpoint) const
+{
+    const auto found = std::find_if(m_members.begin(), m_members.end(), [&endpoint](const auto &entry) {
+        return entry.second.member.endpoint.text() == endpoint.text();
+    });
+    return found != m_members.end() && found->second.member.knownDaemonsHash == knownDaemonsHash();
+}
+
+void Members::onHeard(const VmId &vm, MonotonicTime now)
+{
+    const auto found = m_members.find(vm);
+    if (found != m_members.end()) {
+        found->second.heardAt = now;
+    }
+}
+
+void Members::follow(const VmId &vm, MonotonicTime now)
+{
+    const auto found = m_members.find(vm);
+    if (found == m_members.end()) {
+        return;
+    }
+    State &state = found->second;
+    if (state.followedUntil <= now) {
+        state.followedSince = now;
+    }
+    state.followedUntil = now + FOLLOW_TIME;
+}
+
 // Rendezvous hashing; no value means this daemon.
 template<typename Condition>
 std::optional<Member> Members::highestRanked(const ServiceName &service, Condition isCandidate) const
@@ -154,4 +224,34 @@
     return static_cast<int>(m_members.size()) + 1;
 }
 
+std::optional<int> Members::maxKnownCount() const
+{
+    return m_maxKnownCount > 0 ? std::optional(m_maxKnownCount) : std::nullopt;
+}
+
+// With more daemons than fit into one round, a daemon is heard every few rounds.
+Duration Members::greetingTimeout(const State &state, MonotonicTime now) const
+{
+    if (state.followedUntil > now) {
+        return GREETING_TIMEOUT;
+    }
+    const std::size_t rounds = (m_members.size() + GREETINGS_PER_ROUND - 1) / GREETINGS_PER_ROUND;
+    return GREETING_TIMEOUT * static_cast<int>(std::max<std::size_t>(1, rounds));
+}
+
+// The first greeting lists all daemons, long before each of them was heard.
+void Members::updateMaxKnownCount()
+{
+    std::set<std::string> addresses;
+    for (const auto &[vm, state] : m_members) {
+        addresses.insert(state.member.endpoint.text());
+    }
+    for (const auto &[address, candidate] : m_candidates) {
+        if (!candidate.isSeed) {
+            addresses.insert(address);
+        }
+    }
+    m_maxKnownCount = std::max(m_maxKnownCount, static_cast<int>(addresses.size()) + 1);
+}
+
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/members.h
+++ b/src/libs/gateway/members.h
@@ -15,17 +15,22 @@
     Endpoint endpoint;
     std::int64_t incarnation = 0;
     bool isLeaving = false;
+    double capacity = 1;                              ///< processing capacity of its VM, compared with the others
+    std::optional<std::uint64_t> knownDaemonsHash {}; ///< Members::knownDaemonsHash() of that daemon
 };
 
 /**
  * Tracks which other daemons are alive. The result is a hint: no guarantee depends on it.
  *
- * A daemon counts as alive while its last greeting or response is less than a second old, by the steady clock.
+ * The number of greetings in a round is bounded, so that their cost does not grow with the number of daemons. In a large fleet, a daemon
+ * is therefore greeted every few rounds and counts as alive for longer after it was heard. Daemons that have orders of this one are
+ * followed: they are greeted in each round and count as lost after a second of silence.
  */
 class Members
 {
 public:
-    Members(VmId self, Endpoint endpoint);
+    /** @param capacity processing capacity of this VM, compared with the others */
+    Members(VmId self, Endpoint endpoint, double capacity = 1);
 
     void setSeeds(std::vector<Endpoint> seeds);
     /** @return true when the member is new, has a new incarnation or has started or stopped leaving */
@@ -33,9 +38,21 @@
     /** Removes and returns the members whose last greeting is too old. */
     std::vector<Member> expire(MonotonicTime now);
     /** Endpoints to greet in the current round. */
-    std::vector<Endpoint> endpointsToGreet();
+    std::vector<Endpoint> endpointsToGreet(MonotonicTime now);
     std::vector<Member> alive() const;
-    /** The daemon that collects the pieces of a service; no value when it is this daemon. */
+    /** Hash of the addresses of this daemon and of those that are alive. */
+    std::uint64_t knownDaemonsHash() const;
+    /** Whether the daemon at the endpoint last reported that it knows the same daemons as this one. */
+    bool knowsSameDaemons(const Endpoint &endpoint) const;
+    /** A daemon that has responded to something else than a greeting is alive. */
+    void onHeard(const VmId &vm, MonotonicTime now);
+    /** Detects for a few seconds within a second when the daemon is lost. */
+    void follow(const VmId &vm, MonotonicTime now);
+    /**
+     * The daemon that collects the pieces of a service; no value when it is this daemon.
+     *
+     * Only daemons with at least half of the highest capacity collect pieces, because those of the whole fleet pass through one daemon.
+     */
     std::optional<Member> owner(const ServiceName &service) const;
     /** Like owner(), but skips daemons at which an order has recently failed. Used for new orders. */
     std::optional<Member> availableOwner(const ServiceName &service, MonotonicTime now) const;
@@ -46,27 +63,38 @@
      */
     bool onOrderFailed(const VmId &vm, MonotonicTime hardDeadline, MonotonicTime now);
     void setLeaving();
-    /** Number of daemons that may be alive, including this one. */
+    /** Number of daemons that are alive, including this one. */
     int count() const;
+    /** The most daemons, including this one, that have been known at one time; no value until another daemon was heard. */
+    std::optional<int> maxKnownCount() const;
 
 private:
     struct State {
         Member member;
         MonotonicTime heardAt;
-        MonotonicTime avoidedUntil;
+        MonotonicTime greetedAt {};
+        MonotonicTime avoidedUntil {};
+        MonotonicTime followedSince {};
+        MonotonicTime followedUntil {};
     };
     /** An address at which an unknown daemon may listen. */
     struct Candidate {
         Endpoint endpoint;
         MonotonicTime addedAt;
         bool isSeed = false;
+        MonotonicTime greetedAt {};
     };
 
     template<typename Condition>
     std::optional<Member> highestRanked(const ServiceName &service, Condition isCandidate) const;
 
+    Duration greetingTimeout(const State &state, MonotonicTime now) const;
+    void updateMaxKnownCount();
+
     VmId m_self;
     Endpoint m_endpoint;
+    double m_capacity;
+    int m_maxKnownCount = 0;
     bool m_isLeaving = false;
     std::map<VmId, State> m_members;
     std::map<std::string, Candidate> m_candidates; ///< by address
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -40,7 +40,7 @@
     bool hasStages = false;
     std::optional<std::string> resumeAfter;
     int enginePriority = 0;
-    bool onNewConnection = false; ///< no reuse: the target might close an idle connection just as the request is sent
+    bool onNewConnection = false;       ///< no reuse: the target might close an idle connection just as the request is sent
     std::size_t maxIdleConnections = 0; ///< to this target, after the response
 };
 
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::milliseconds NO_TARGET_RETRY { 1000 };        // a crashed target is usually back after seconds
 constexpr std::chrono::milliseconds COLD_RETRY { 500 };              // half of the window in which cold starts are counted
 constexpr std::size_t MAX_IDLE_CONNECTIONS = 4;                      // more are rarely reused before they expire
-constexpr double IDLE_CONNECTION_SHARE = 0.5;                        // the rest is for connections in use; a target with a long queue accepts fewer
-constexpr double COLD_RATE_SAFETY_FACTOR = 0.8;                      // requests sent within one second may arrive within a shorter time
+constexpr double IDLE_CONNECTION_SHARE = 0.5;   // the rest is for connections in use; a target with a long queue accepts fewer
+constexpr double COLD_RATE_SAFETY_FACTOR = 0.8; // requests sent within one second may arrive within a shorter time
 
 } // namespace
 
--- a/src/libs/settings/gatewaysettings.cpp
+++ b/src/libs/settings/gatewaysettings.cpp
@@ -13,6 +13,7 @@
 constexpr double DEFAULT_COLD_FACTOR = 1;
 constexpr double DEFAULT_COLD_SLACK = 0;
 constexpr int DEFAULT_MAX_VMS = 12;        // the size of a cell
+constexpr double DEFAULT_CAPACITY = 1;
 constexpr int DEFAULT_METRICS_PORT = 9464; // the customary port of Prometheus exporters
 
 Duration seconds(double value)
@@ -62,6 +63,7 @@
     settings.coldFactor = raw.coldFactor.value_or(DEFAULT_COLD_FACTOR);
     settings.coldSlack = raw.coldSlack.value_or(DEFAULT_COLD_SLACK);
     settings.maxVms = static_cast<int>(raw.maxVms.value_or(DEFAULT_MAX_VMS));
+    settings.capacity = raw.capacity.value_or(DEFAULT_CAPACITY);
     settings.logLevel = raw.logLevel.value_or(Schema::LogLevel::Info);
     return settings;
 }
--- a/tests/auto/gateway/tst_members.cpp
+++ b/tests/auto/gateway/tst_members.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr milliseconds ROUND { 300 };
+
 Endpoint endpoint(int number)
 {
     return { "127.0.0.1", static_cast<std::uint16_t>(9000 + number) };
@@ -26,9 +28,9 @@
 {
     Members first(VmId("vm0"), endpoint(0));
     first.setSeeds({ endpoint(0), endpoint(1) });
-    BOOST_REQUIRE_EQUAL(first.endpointsToGreet().size(), 1U);
+    BOOST_REQUIRE_EQUAL(first.endpointsToGreet(START).size(), 1U);
     BOOST_TEST(first.onGreeting(member(1), { endpoint(2), endpoint(0) }, START));
-    BOOST_TEST(first.endpointsToGreet().size() == 2U);
+    BOOST_TEST(first.endpointsToGreet(START + ROUND).size() == 2U);
     BOOST_TEST(first.count() == 2);
 }
 
@@ -38,7 +40,7 @@
     first.onGreeting(member(1), {}, START);
     BOOST_TEST(first.expire(START + milliseconds(900)).empty());
     BOOST_TEST(first.expire(START + milliseconds(1100)).size() == 1U);
-    BOOST_TEST(first.endpointsToGreet().size() == 1U);
+    BOOST_TEST(first.endpointsToGreet(START + milliseconds(1100)).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(allDaemonsAgreeOnTheOwnerAndSkipALeavingOne)
@@ -64,6 +66,75 @@
     BOOST_TEST((!next || next->vm.value() != *owners.begin()));
 }
 
+// Regression: with 81 daemons, greetings to everybody in each round took a third of a small VM's link and processor share.
+BOOST_AUTO_TEST_CASE(greetingsOfARoundDoNotGrowWithTheFleet)
+{
+    constexpr std::size_t MAX_GREETINGS = 16; // members and addresses that were only heard of
+    for (const int count : { 6, 12, 81, 380 }) {
+        Members members(VmId("vm0"), endpoint(0));
+        for (int other = 1; other < count; ++other) {
+            members.onGreeting(member(other), { endpoint(other + 1000) }, START);
+        }
+        BOOST_TEST(members.endpointsToGreet(START + ROUND).size() <= MAX_GREETINGS);
+    }
+}
+
+// Each daemon greets with a bounded number of greetings a round, loses none that responds, and greets every one of them.
+BOOST_AUTO_TEST_CASE(daemonsOfALargeFleetStayKnown)
+{
+    constexpr int COUNT = 81;
+    Members members(VmId("vm0"), endpoint(0));
+    for (int other = 1; other < COUNT; ++other) {
+        members.onGreeting(member(other), {}, START);
+    }
+    std::set<std::string> greeted;
+    for (MonotonicTime now = START + ROUND; now < START + seconds(30); now += ROUND) {
+        BOOST_TEST(members.expire(now).empty());
+        for (const Endpoint &to : members.endpointsToGreet(now)) {
+            greeted.insert(to.text());
+            members.onGreeting(member(to.port - endpoint(0).port), {}, now);
+        }
+    }
+    BOOST_TEST(greeted.size() == COUNT - 1U);
+    BOOST_TEST(members.count() == COUNT);
+}
+
+BOOST_AUTO_TEST_CASE(lostDaemonIsNoticedWithinASecondWhileItIsFollowed)
+{
+    constexpr int COUNT = 81;
+    Members members(VmId("vm0"), endpoint(0));
+    for (int other = 1; other < COUNT; ++other) {
+        members.onGreeting(member(other), {}, START);
+    }
+    const MonotonicTime later = START + seconds(5);
+    members.follow(VmId("vm7"), later);
+    BOOST_TEST(members.expire(later + milliseconds(900)).empty());
+    const std::vector<Endpoint> greeted = members.endpointsToGreet(later + milliseconds(900));
+    BOOST_TEST(std::any_of(greeted.begin(), greeted.end(), [](const Endpoint &to) { return to.text() == endpoint(7).text(); }));
+    const std::vector<Member> lost = members.expire(later + milliseconds(1100));
+    BOOST_REQUIRE_EQUAL(lost.size(), 1U);
+    BOOST_TEST(lost.front().vm.value() == "vm7");
+}
+
+BOOST_AUTO_TEST_CASE(daemonsWithTheSameViewNeedNoList)
+{
+    Members first(VmId("vm0"), endpoint(0));
+    Members second(VmId("vm1"), endpoint(1));
+    first.onGreeting(member(2), {}, START);
+    second.onGreeting(member(2), {}, START);
+    const auto greet = [](const Members &from, int number, Members &to) {
+        Member sender = member(number);
+        sender.knownDaemonsHash = from.knownDaemonsHash();
+        to.onGreeting(sender, {}, START);
+    };
+    greet(second, 1, first);
+    BOOST_TEST(!first.knowsSameDaemons(endpoint(1)));
+    greet(first, 0, second);
+    greet(second, 1, first);
+    BOOST_TEST(first.knowsSameDaemons(endpoint(1)));
+    BOOST_TEST(!first.knowsSameDaemons(endpoint(2)));
+}
+
 // Regression: after all daemons were restarted under load, orders timed out, and every daemon concluded that their owner was gone.
 BOOST_AUTO_TEST_CASE(timedOutOrderDoesNotChangeTheOwner)
 {
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -161,6 +161,7 @@
             "node": vm.name, "region": REGION, "zone": vm.domain, "zones": {domain: REGION for domain in DOMAINS},
             "listen": {"front": vm.endpoint(vm.caller_port), "ready": vm.endpoint(vm.ready_port), "control": vm.endpoint(vm.peer_port)},
             "platform": {"address": f"127.0.0.1:{self.platform_port}"}, "seeds": seeds,
+            "limits": {"cpuShare": 0.25},
             "bounds": {"graceS": shutdown_s, "retryBudgetRatio": 0.2, "budgetExtra": 50, "budgetWindowS": 10, "coldOver": 1.5, "coldSlack": 5}}))
         return path
 
