Collect the pieces of a stage where the capacity is

Cause: the rendezvous hash took a VM of 0.12 cores and 10 Mbit/s as soon as one of 0.5 cores and 200 Mbit/s. The pieces of the whole fleet pass through it: with 81 daemons, 1,000 to 2,400 a second with up to eight input handles each. With six equal VMs there was nothing to choose. When none of them can be reached, the others take over, as the highest is that of those heard. Test: piecesAreCollectedWhereTheCapacityIs, which fails without the condition.

--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -10,6 +10,7 @@
 constexpr std::chrono::milliseconds RECENTLY_HEARD { 150 };        // half a round; the other daemon has just sent its greeting
 constexpr std::size_t GREETINGS_PER_ROUND = 8;                     // all others in a cell; a tenth of the fleet with 81 daemons
 constexpr std::chrono::milliseconds FOLLOW_TIME { 2000 };          // longer than a stage takes
+constexpr double MIN_OWNER_CAPACITY = 0.5;                         // share of the highest capacity
 constexpr std::chrono::milliseconds FAILED_OWNER_BACKOFF { 1000 }; // a stopped daemon is detected within this time
 constexpr std::chrono::seconds CANDIDATE_LIFETIME { 10 };          // a restarted VM is back within seconds
 
@@ -177,11 +178,18 @@
 std::optional<Member> Members::highestRanked(const ServiceName &service, Condition isCandidate) const
 {
     const std::uint64_t seed = stableHash(service.value());
-    std::uint64_t highest = m_isLeaving ? 0 : stableHash(m_self.value(), seed);
+    double maxCapacity = m_isLeaving ? 0 : m_capacity;
+    for (const auto &[vm, state] : m_members) {
+        if (!state.member.isLeaving && isCandidate(state)) {
+            maxCapacity = std::max(maxCapacity, state.member.capacity);
+        }
+    }
+    const double minCapacity = MIN_OWNER_CAPACITY * maxCapacity;
+    std::uint64_t highest = m_isLeaving || m_capacity < minCapacity ? 0 : stableHash(m_self.value(), seed);
     const Member *first = nullptr;
     for (const auto &[vm, state] : m_members) {
         const std::uint64_t rank = stableHash(vm.value(), seed);
-        if (state.member.isLeaving || rank <= highest || !isCandidate(state)) {
+        if (state.member.isLeaving || state.member.capacity < minCapacity || rank <= highest || !isCandidate(state)) {
             continue;
         }
         highest = rank;
--- a/tests/auto/gateway/tst_members.cpp
+++ b/tests/auto/gateway/tst_members.cpp
@@ -135,6 +135,31 @@
     BOOST_TEST(!first.knowsSameDaemons(endpoint(2)));
 }
 
+// Regression: a VM with a tenth of a core and a slow link collected the pieces of the whole fleet while larger ones were idle.
+BOOST_AUTO_TEST_CASE(piecesAreCollectedWhereTheCapacityIs)
+{
+    constexpr double SMALL = 0.12;
+    constexpr double LARGE = 0.5;
+    constexpr int COUNT = 40;
+    for (int service = 0; service < 20; ++service) {
+        const ServiceName name("stage" + std::to_string(service));
+        std::set<std::string> owners;
+        for (int self = 0; self < COUNT; ++self) {
+            const auto capacity = [](int number) { return number % 10 == 0 ? LARGE : SMALL; };
+            Members members(VmId("vm" + std::to_string(self)), endpoint(self), capacity(self));
+            for (int other = 0; other < COUNT; ++other) {
+                Member greeting = member(other);
+                greeting.capacity = capacity(other);
+                members.onGreeting(greeting, {}, START);
+            }
+            const std::optional<Member> owner = members.owner(name);
+            BOOST_TEST((owner ? owner->capacity : capacity(self)) == LARGE);
+            owners.insert(owner ? owner->vm.value() : "vm" + std::to_string(self));
+        }
+        BOOST_TEST(owners.size() == 1U);
+    }
+}
+
 // Regression: after all daemons were restarted under load, orders timed out, and every daemon concluded that their owner was gone.
 BOOST_AUTO_TEST_CASE(timedOutOrderDoesNotChangeTheOwner)
 {
