Take the smallest share of common limits until the fleet is known

What callers could see: more requests at cold targets and more repeats than all daemons together may send, after a restart of many daemons. Cause: until it had heard the others, a daemon assumed twelve (maxVms). After a restart of a fleet of 81 each took a twelfth of the rate of cold targets and of the extra retries: nearly seven times as much as allowed. One that was cut off went back to a twelfth. Change: the default of maxVms is 380, the largest fleet of the design. The first greeting lists all daemons, and their number counts from then on; it does not fall when daemons are lost, as they may be alive behind a cut. Below twelve the share stays that of twelve, as before. Test: firstGreetingTellsTheSizeOfTheFleet.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds MAX_IDLE_TIME { 10000 };
 constexpr std::size_t MAX_IDLE_PER_TARGET = 4; // TargetRegistry lowers it where many daemons share the connections of a target
 constexpr std::size_t MAX_IDLE_PER_PEER = 16;
+constexpr int MIN_SHARED_VMS = 12; // the size of a cell; fewer VMs may grow to it before all of them have noticed
 
 Net::HttpClientLimits clientLimits(std::size_t idlePerServer)
 {
@@ -238,7 +239,9 @@
 
 void GatewayDaemon::onMembersChanged()
 {
-    const int vms = std::max(m_settings.maxVms, m_members.count());
+    // Until another daemon was heard, there may be as many as the settings allow.
+    const std::optional<int> known = m_members.maxKnownCount();
+    const int vms = known ? std::max(MIN_SHARED_VMS, *known) : m_settings.maxVms;
     m_targets.setVmCount(vms);
     m_relayContext.vmCount = vms;
     m_pieceBroker.onMembersChanged();
--- a/src/libs/settings/gatewaysettings.cpp
+++ b/src/libs/settings/gatewaysettings.cpp
@@ -12,7 +12,7 @@
 constexpr double DEFAULT_RETRY_WINDOW_S = 10;
 constexpr double DEFAULT_COLD_FACTOR = 1;
 constexpr double DEFAULT_COLD_SLACK = 0;
-constexpr int DEFAULT_MAX_VMS = 12;        // the size of a cell
+constexpr int DEFAULT_MAX_VMS = 380; // the largest fleet that the design supports
 constexpr double DEFAULT_CAPACITY = 1;
 constexpr int DEFAULT_METRICS_PORT = 9464; // the customary port of Prometheus exporters
 
--- a/tests/auto/gateway/tst_members.cpp
+++ b/tests/auto/gateway/tst_members.cpp
@@ -160,6 +160,22 @@
     }
 }
 
+// Regression: a restarted daemon of a fleet of 81 took a twelfth of the shared limits until it had heard the others.
+BOOST_AUTO_TEST_CASE(firstGreetingTellsTheSizeOfTheFleet)
+{
+    Members members(VmId("vm0"), endpoint(0));
+    members.setSeeds({ endpoint(1) });
+    BOOST_TEST(!members.maxKnownCount().has_value());
+    std::vector<Endpoint> known;
+    for (int other = 0; other < 81; ++other) {
+        known.push_back(endpoint(other));
+    }
+    members.onGreeting(member(1), known, START);
+    BOOST_TEST(members.maxKnownCount().value_or(0) == 81);
+    members.expire(START + seconds(60));
+    BOOST_TEST(members.maxKnownCount().value_or(0) == 81);
+}
+
 // Regression: after all daemons were restarted under load, orders timed out, and every daemon concluded that their owner was gone.
 BOOST_AUTO_TEST_CASE(timedOutOrderDoesNotChangeTheOwner)
 {
