Notice a store that was restored from a copy

What callers could see: targets, routes and disabled domains that changed after such a restoration stayed unknown to a daemon, or a target that had left and a disabled domain got requests again. Cause: the watch continued at a revision that the restored store had given out again, and a listing was taken for the present although it was some seconds old. A revision that is reached again before the watch returns can't be told from a quiet store. Change: the era that the store sends with each response is decoded by the adapter and compared by the catalogue; in a new era the response is not applied and everything is listed anew. The first listing after that brings no target back that is leaving or gone (unless its start time is another), and withdraws targets and disabled domains only after the grace period that entries have after an outage. Later changes apply as usual; an older configuration was never adopted and is not now.

--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -1,6 +1,7 @@
 #include "storewatcher.h"
 
 #include "callrequests.h"
+#include "fieldlist.h"
 
 namespace CassiaRelay::GatewayDaemon {
 
@@ -79,15 +80,37 @@
     request.deadline = m_callStartedAt + timeout;
     request.connectTimeout = RESPONSE_TIMEOUT;
     Net::HttpCallHandlers handlers;
-    handlers.onHead = [this](const Net::HttpCallHead &head) { m_reply.status = head.status; };
+    handlers.onHead = [this](const Net::HttpCallHead &head) {
+        m_reply.status = head.status;
+        m_reply.era = m_port.storeEra(toFieldList(head.fields));
+    };
     handlers.onBody = [this](const std::string &part) { m_reply.body += part; };
     handlers.onFinished = std::move(onReply);
     handlers.onFailed = [this](Net::CallFailure, const std::string &detail) { onFailure(detail); };
     m_call = m_client.send(std::move(request), std::move(handlers));
 }
 
+// After the store was restored from a copy, revisions are given out again: neither the pages read so far nor the revision of the watch
+// belong to what the store holds now.
+bool StoreWatcher::restartInNewEra()
+{
+    if (!m_reply.era || !m_catalogue.isNewEra(*m_reply.era)) {
+        return false;
+    }
+    m_log.write("store restored from a copy",
+                { { "era", std::to_string(*m_reply.era) }, { "revision", std::to_string(m_catalogue.revision()) } },
+                std::chrono::steady_clock::now());
+    m_isListed = false;
+    m_nextAfter.clear();
+    list();
+    return true;
+}
+
 void StoreWatcher::onPage()
 {
+    if (restartInNewEra()) {
+        return;
+    }
     if (m_reply.status != STATUS_OK) {
         onFailure("status " + std::to_string(m_reply.status));
         return;
@@ -120,6 +143,9 @@
 
 void StoreWatcher::onChanges()
 {
+    if (restartInNewEra()) {
+        return;
+    }
     if (m_port.isRevisionExpired(m_reply.status)) {
         m_log.write("store revision expired", { { "revision", std::to_string(m_catalogue.revision()) } }, std::chrono::steady_clock::now());
         m_isListed = false;
--- a/src/app/gateway/storewatcher.h
+++ b/src/app/gateway/storewatcher.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace CassiaRelay::GatewayDaemon {
 
@@ -40,12 +41,14 @@
     /** The part of the response to the current call that has been received so far. */
     struct Reply {
         unsigned status = 0;
+        std::optional<std::int64_t> era;
         std::string body;
     };
 
     void list();
     void watch();
     void sendCall(Gateway::PlatformRequest platformRequest, Duration timeout, std::function<void()> onReply);
+    bool restartInNewEra();
     void onPage();
     void onChanges();
     void onFailure(const std::string &reason);
--- a/src/libs/gateway/catalogue.cpp
+++ b/src/libs/gateway/catalogue.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds RECONNECT_GRACE { 2200 }; // expired entries are renewed about two seconds after the store's return
+constexpr std::chrono::milliseconds RECONNECT_GRACE { 2200 };  // expired entries are renewed about two seconds after the store's return
+constexpr std::chrono::seconds DROPPED_TARGET_LIFETIME { 60 }; // older than any copy from which the store is restored
 
 } // namespace
 
@@ -24,7 +25,13 @@
     CatalogueChanges result;
     std::set<TargetId> listed;
     std::set<FailureDomain> disabled;
-    for (const StoreEntry &entry : entries) {
+    m_isFirstResponse = m_isFirstResponse || m_isRestoredCopy;
+    for (const StoreEntry &published : entries) {
+        const std::optional<StoreEntry> current = m_isRestoredCopy ? withoutOutdatedState(published) : published;
+        if (!current) {
+            continue;
+        }
+        const StoreEntry &entry = *current;
         apply(entry, result, now);
         if (const auto *target = std::get_if<TargetPublished>(&entry)) {
             listed.insert(target->record.id);
@@ -43,15 +50,29 @@
     }
     const std::set<FailureDomain> before = m_disabledDomains;
     for (const FailureDomain &domain : before) {
-        if (disabled.count(domain) == 0) {
+        if (disabled.count(domain) > 0) {
+            continue;
+        }
+        if (m_isRestoredCopy) {
+            m_pendingRestorations.emplace(domain, now + RECONNECT_GRACE);
+        } else {
             apply(DomainRestored { domain }, result, now);
         }
     }
     m_revision = revision;
     m_isFirstResponse = false;
+    m_isRestoredCopy = false;
     return result;
 }
 
+bool Catalogue::isNewEra(std::int64_t era)
+{
+    const bool isNew = m_era && *m_era != era;
+    m_era = era;
+    m_isRestoredCopy = m_isRestoredCopy || isNew;
+    return isNew;
+}
+
 void Catalogue::setStoreUnavailable()
 {
     m_storeUnavailable = true;
@@ -72,6 +93,9 @@
     for (const auto &[id, until] : m_pendingRemovals) {
         next = next ? std::min(*next, until) : until;
     }
+    for (const auto &[domain, until] : m_pendingRestorations) {
+        next = next ? std::min(*next, until) : until;
+    }
     return next;
 }
 
@@ -86,10 +110,22 @@
             ++removal;
             continue;
         }
-        m_targets.erase(removal->first);
+        const auto target = m_targets.find(removal->first);
+        m_droppedTargets[removal->first] = { target->second.startedAt, now };
+        m_targets.erase(target);
         changes.emplace_back(TargetDropped { removal->first, false });
         removal = m_pendingRemovals.erase(removal);
     }
+    for (auto restoration = m_pendingRestorations.begin(); restoration != m_pendingRestorations.end();) {
+        if (restoration->second > now) {
+            ++restoration;
+            continue;
+        }
+        const FailureDomain domain = restoration->first;
+        restoration = m_pendingRestorations.erase(restoration);
+        apply(DomainRestored { domain }, changes, now);
+    }
+    forgetDroppedTargets(now);
     return changes;
 }
 
@@ -113,11 +149,13 @@
     std::visit(Overloaded {
                    [&](const ConfigurationPublished &published) { adoptConfiguration(published.configuration, changes); },
                    [&](const DomainDisabled &disabled) {
+                       m_pendingRestorations.erase(disabled.domain);
                        if (m_disabledDomains.insert(disabled.domain).second) {
                            changes.emplace_back(DomainChanged { disabled.domain, true });
                        }
                    },
                    [&](const DomainRestored &restored) {
+                       m_pendingRestorations.erase(restored.domain);
                        if (m_disabledDomains.erase(restored.domain) > 0) {
                            changes.emplace_back(DomainChanged { restored.domain, false });
                        }
@@ -143,6 +181,7 @@
 void Catalogue::adoptTarget(const TargetRecord &record, CatalogueChanges &changes)
 {
     m_pendingRemovals.erase(record.id);
+    m_droppedTargets.erase(record.id);
     const auto known = m_targets.find(record.id);
     if (known != m_targets.end() && known->second.startedAt != record.startedAt) {
         changes.emplace_back(TargetDropped { record.id, true });
@@ -162,8 +201,36 @@
         return;
     }
     m_pendingRemovals.erase(id);
+    m_droppedTargets[id] = { known->second.startedAt, now };
     m_targets.erase(known);
     changes.emplace_back(TargetDropped { id, false });
 }
 
+// In a copy, a target that is leaving or gone may still be listed as before. A live target is written again within seconds, and that
+// change is applied as usual.
+std::optional<StoreEntry> Catalogue::withoutOutdatedState(const StoreEntry &entry) const
+{
+    const auto *published = std::get_if<TargetPublished>(&entry);
+    if (!published) {
+        return entry;
+    }
+    const auto dropped = m_droppedTargets.find(published->record.id);
+    if (dropped != m_droppedTargets.end() && dropped->second.startedAt == published->record.startedAt) {
+        return std::nullopt;
+    }
+    TargetPublished current = *published;
+    const auto known = m_targets.find(current.record.id);
+    if (known != m_targets.end() && known->second.startedAt == current.record.startedAt) {
+        current.record.isLeaving = current.record.isLeaving || known->second.isLeaving;
+    }
+    return current;
+}
+
+void Catalogue::forgetDroppedTargets(MonotonicTime now)
+{
+    for (auto dropped = m_droppedTargets.begin(); dropped != m_droppedTargets.end();) {
+        dropped = dropped->second.droppedAt + DROPPED_TARGET_LIFETIME <= now ? m_droppedTargets.erase(dropped) : std::next(dropped);
+    }
+}
+
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/catalogue.h
+++ b/src/libs/gateway/catalogue.h
@@ -42,6 +42,9 @@
  * A configuration is never replaced by an older version. Targets that disappeared while the store was unavailable are kept for a short
  * grace period after its return: their entries may have expired only because they could not be renewed. Targets that disappear later
  * are dropped immediately.
+ *
+ * A store that was restored from a copy lists what it held some seconds ago, until it is written again. The first listing after that
+ * brings no target back that has left since, and withdraws nothing before the grace period has ended.
  */
 class Catalogue
 {
@@ -49,6 +52,11 @@
     CatalogueChanges applyChanges(const StoreChanges &changes, MonotonicTime now);
     /** Applies a complete listing; targets and disabled domains that it does not contain are removed. */
     CatalogueChanges applyListing(const std::vector<StoreEntry> &entries, std::int64_t revision, MonotonicTime now);
+    /**
+     * Compares the era in a response of the store with the one before; the store starts a new era when it was restored from a copy.
+     * @return true in a new era: the response must not be applied, and a complete listing is needed
+     */
+    bool isNewEra(std::int64_t era);
     /** The store did not respond, or refused the request of this daemon. */
     void setStoreUnavailable();
     void setStoreAvailable();
@@ -66,14 +74,26 @@
     void adoptConfiguration(const Configuration &configuration, CatalogueChanges &changes);
     void adoptTarget(const TargetRecord &record, CatalogueChanges &changes);
     void dropTarget(const TargetId &id, CatalogueChanges &changes, MonotonicTime now);
+    std::optional<StoreEntry> withoutOutdatedState(const StoreEntry &entry) const;
+    void forgetDroppedTargets(MonotonicTime now);
+
+    /** A target that was removed recently. */
+    struct DroppedTarget {
+        StartTime startedAt;
+        MonotonicTime droppedAt;
+    };
 
     RouteTablePointer m_table;
     std::map<TargetId, TargetRecord> m_targets;
     std::map<TargetId, MonotonicTime> m_pendingRemovals; ///< end of the grace period, by target
+    std::map<TargetId, DroppedTarget> m_droppedTargets;
     std::set<FailureDomain> m_disabledDomains;
+    std::map<FailureDomain, MonotonicTime> m_pendingRestorations; ///< end of the grace period, by disabled domain
+    std::optional<std::int64_t> m_era;
     std::int64_t m_revision = 0;
     bool m_storeUnavailable = false;
     bool m_isFirstResponse = false; ///< the first response after an outage is being applied
+    bool m_isRestoredCopy = false;  ///< no listing has been applied since the store was restored from a copy
 };
 
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/platformport.h
+++ b/src/libs/gateway/platformport.h
@@ -67,6 +67,8 @@
     virtual PlatformRequest watchRequest(std::int64_t revision, std::chrono::milliseconds wait) const = 0;
     /** @throws Error (BadRequest) when the body can't be read */
     virtual StoreChanges readChanges(std::string_view body) const = 0;
+    /** Number that the store raises when it was restored from a copy; no value when the response does not tell it. */
+    virtual std::optional<std::int64_t> storeEra(const std::vector<HttpField> &fields) const = 0;
     /** Whether the status means that changes since the revision are no longer available. */
     virtual bool isRevisionExpired(unsigned status) const = 0;
 
--- a/tests/auto/gateway/tst_catalogue.cpp
+++ b/tests/auto/gateway/tst_catalogue.cpp
@@ -51,6 +51,66 @@
     BOOST_TEST(catalogue.table()->version() == 9);
 }
 
+// A copy lists what was published before targets left, domains were disabled and a configuration came into force.
+BOOST_AUTO_TEST_CASE(restoredCopyTakesNothingBack)
+{
+    TargetRecord leaving = target("leaving", "engine");
+    leaving.isLeaving = true;
+    Catalogue catalogue;
+    BOOST_TEST(!catalogue.isNewEra(1));
+    catalogue.applyListing({ configuration(7), published("leaving"), published("gone"), published("stays") }, 100, START);
+    catalogue.applyChanges(
+        { { configuration(9), TargetPublished { leaving }, removed("gone"), published("new"), DomainDisabled { FailureDomain("a") } },
+          105 },
+        START + seconds(1));
+    BOOST_TEST(!catalogue.isNewEra(1));
+    BOOST_TEST(catalogue.isNewEra(2));
+    const MonotonicTime restoredAt = START + seconds(3);
+    const CatalogueChanges changes =
+        catalogue.applyListing({ configuration(7), published("leaving"), published("gone"), published("stays") }, 100, restoredAt);
+    BOOST_TEST(catalogue.revision() == 100);
+    BOOST_TEST(catalogue.table()->version() == 9);
+    BOOST_TEST(count<DomainChanged>(changes) == 0);
+    BOOST_TEST(count<TargetDropped>(changes) == 0);
+    for (const CatalogueChange &change : changes) {
+        const auto *adopted = std::get_if<TargetAdopted>(&change);
+        if (!adopted) {
+            continue;
+        }
+        BOOST_TEST(adopted->record.id.value() != "gone");
+        BOOST_TEST(adopted->record.isLeaving == (adopted->record.id.value() == "leaving"));
+    }
+    // What is written again within the grace period stays; the rest is withdrawn after it.
+    catalogue.applyChanges({ { published("new"), DomainDisabled { FailureDomain("a") } }, 103 }, restoredAt + seconds(1));
+    BOOST_TEST(catalogue.expire(restoredAt + seconds(10)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(whatIsNotWrittenAgainAfterARestorationIsWithdrawn)
+{
+    Catalogue catalogue;
+    catalogue.isNewEra(1);
+    catalogue.applyListing({ published("one"), published("two"), DomainDisabled { FailureDomain("a") } }, 100, START);
+    BOOST_TEST(catalogue.isNewEra(2));
+    catalogue.applyListing({ published("one") }, 90, START + seconds(1));
+    BOOST_REQUIRE(catalogue.nextExpiry());
+    BOOST_TEST(catalogue.expire(START + seconds(2)).empty());
+    const CatalogueChanges changes = catalogue.expire(START + seconds(5));
+    BOOST_TEST(count<TargetDropped>(changes) == 1);
+    BOOST_TEST(count<DomainChanged>(changes) == 1);
+    BOOST_TEST(!catalogue.nextExpiry());
+}
+
+BOOST_AUTO_TEST_CASE(targetThatIsWrittenAgainAfterARestorationIsBack)
+{
+    Catalogue catalogue;
+    catalogue.isNewEra(1);
+    catalogue.applyListing({ published("one"), published("two") }, 100, START);
+    catalogue.applyChanges({ { removed("one") }, 101 }, START);
+    BOOST_TEST(catalogue.isNewEra(2));
+    BOOST_TEST(count<TargetAdopted>(catalogue.applyListing({ published("one"), published("two") }, 100, START + seconds(1))) == 1);
+    BOOST_TEST(count<TargetAdopted>(catalogue.applyChanges({ { published("one") }, 101 }, START + seconds(2))) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(removedTargetIsDroppedImmediately)
 {
     Catalogue catalogue;
--- /dev/null
+++ b/tests/auto/gatewaydaemon/tst_storewatcher.cpp
@@ -0,0 +1,144 @@
+#include <app/gateway/storewatcher.h>
+#include <auto/net/loopback.h>
+#include <boost/test/unit_test.hpp>
+#include <platform/platform.h>
+#include <standins/publishedstore.h>
+
+using namespace CassiaRelay;
+using namespace CassiaRelay::GatewayDaemon;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A store on loopback and a daemon's watch of it; both run on one thread. */
+class WatchedStore
+{
+public:
+    WatchedStore()
+        : m_store(m_server.get())
+        , m_client(m_server.get())
+        , m_log(Schema::LogLevel::Error)
+        , m_watcher(m_server.get(),
+                    m_client,
+                    m_port,
+                    { "127.0.0.1", m_server.http().port() },
+                    m_catalogue,
+                    m_log,
+                    [this](const Gateway::CatalogueChanges &changes) { onChanges(changes); })
+    {
+        run([this] { m_watcher.start(); });
+    }
+
+    ~WatchedStore()
+    {
+        run([this] { m_watcher.stop(); });
+        m_server.join();
+    }
+    WatchedStore(const WatchedStore &) = delete;
+    WatchedStore &operator=(const WatchedStore &) = delete;
+
+    void publishTarget(const std::string &id)
+    {
+        const std::string body = R"({"service":"s","address":"127.0.0.1:1","zone":"a","slots":1,"state":"ready","born":1,"seq":1})";
+        Loopback::Client client(m_server.http().port());
+        client.send("PUT /items/servers/" + id + " HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                    + body);
+        client.read();
+    }
+
+    void takeCopy()
+    {
+        run([this] { m_store.takeCopy(); });
+    }
+
+    void restoreCopy()
+    {
+        run([this] { m_store.restoreCopy(); });
+    }
+
+    bool isKnown(const std::string &id)
+    {
+        bool known = false;
+        run([&] { known = m_known.count(id) > 0; });
+        return known;
+    }
+
+    bool waitUntilKnown(const std::string &id)
+    {
+        for (int attempt = 0; attempt < 500 && !isKnown(id); ++attempt) {
+            std::this_thread::sleep_for(10ms);
+        }
+        return isKnown(id);
+    }
+
+private:
+    void run(const std::function<void()> &task)
+    {
+        std::promise<void> done;
+        boost::asio::post(m_server.get(), [&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().get();
+    }
+
+    void onChanges(const Gateway::CatalogueChanges &changes)
+    {
+        for (const Gateway::CatalogueChange &change : changes) {
+            if (const auto *adopted = std::get_if<Gateway::TargetAdopted>(&change)) {
+                m_known.insert(adopted->record.id.value());
+            }
+        }
+    }
+
+    void handle(const Net::HttpExchangePointer &exchange)
+    {
+        if (StandIns::PublishedStore::isWrite(std::string(exchange->request().target()))) {
+            m_store.write(exchange);
+        } else {
+            m_store.read(exchange);
+        }
+    }
+
+    Loopback::Server m_server { [this](const Net::HttpExchangePointer &exchange) { handle(exchange); } };
+    StandIns::PublishedStore m_store;
+    Net::HttpClient m_client;
+    const Platform::Adapter m_port;
+    Gateway::Catalogue m_catalogue;
+    EventLog m_log;
+    std::set<std::string> m_known;
+    StoreWatcher m_watcher;
+};
+
+} // namespace
+
+// Regression: a store that was restored from a copy gives revisions out again, and the watch continued behind what they now stand for.
+BOOST_AUTO_TEST_CASE(revisionThatIsGivenOutAgainIsNoticed)
+{
+    WatchedStore store;
+    store.publishTarget("first");
+    BOOST_REQUIRE(store.waitUntilKnown("first"));
+    store.takeCopy();
+    store.publishTarget("lost");
+    BOOST_REQUIRE(store.waitUntilKnown("lost"));
+    store.restoreCopy();
+    store.publishTarget("second");
+    BOOST_TEST(store.waitUntilKnown("second"));
+}
+
+// A restored store without new writes does not have the revision of the watch.
+BOOST_AUTO_TEST_CASE(changesAfterARestorationArrive)
+{
+    WatchedStore store;
+    store.publishTarget("first");
+    BOOST_REQUIRE(store.waitUntilKnown("first"));
+    store.takeCopy();
+    for (int number = 0; number < 5; ++number) {
+        store.publishTarget("lost-" + std::to_string(number));
+    }
+    BOOST_REQUIRE(store.waitUntilKnown("lost-4"));
+    store.restoreCopy();
+    std::this_thread::sleep_for(1s);
+    store.publishTarget("second");
+    BOOST_TEST(store.waitUntilKnown("second"));
+}
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -128,6 +128,13 @@
     BOOST_TEST(ADAPTER.listRequest(first.nextAfter).path.find("after=servers/b") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(eraOfTheStoreIsDecoded)
+{
+    BOOST_TEST(ADAPTER.storeEra({ { "store-era", "12" } }).value_or(0) == 12);
+    BOOST_TEST(!ADAPTER.storeEra({ { "Store-Era", "x" } }).has_value());
+    BOOST_TEST(!ADAPTER.storeEra({}).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(configurationIsDecoded)
 {
     const json document {
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -1,5 +1,6 @@
 """The verbs and conditions that only scenarios of gateways have."""
 
+import json
 import signal
 
 from fleet import http_json, wait_until
@@ -74,8 +75,11 @@
         self.fleet.start_gateway(vm)
         self.fleet.wait_ready(vm)
 
-    # platform ok|slow|down|forget
+    # platform ok|slow|down|forget|take-copy|restore-copy
     def verb_platform(self, mode):
+        if mode in ("take-copy", "restore-copy"):
+            http_json(self.fleet.platform_port, "POST", "/fault", json.dumps({"copy": mode.split("-")[0]}))
+            return
         if mode == "forget":
             http_json(self.fleet.platform_port, "POST", "/fault", '{"forget": true}')
         else:
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -101,9 +101,19 @@
             exchange->respond({ 200, "application/json", "{}", {} });
             return;
         }
+        if (fault.is_object() && fault.contains("copy")) {
+            if (fault.value("copy", "") == "take") {
+                m_published.takeCopy();
+            } else {
+                m_published.restoreCopy();
+            }
+            exchange->respond({ 200, "application/json", "{}", {} });
+            return;
+        }
         const auto mode = fault.is_object() ? MODES.find(fault.value("mode", "")) : MODES.end();
         if (mode == MODES.end()) {
-            exchange->respond({ STATUS_BAD_REQUEST, "text/plain", "mode is ok, stale, slow or down; forget is true\n", {} });
+            exchange->respond(
+                { STATUS_BAD_REQUEST, "text/plain", "mode is ok, stale, slow or down; forget is true; copy is take or restore\n", {} });
             return;
         }
         m_mode = mode->second;
--- a/tests/standins/publishedstore.cpp
+++ b/tests/standins/publishedstore.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view WATCH_PATH = "/api/kv-watch";
 constexpr std::string_view ITEMS_PATH = "/items/";
 constexpr std::size_t PAGE_ITEMS = 20; // small, so that every test reads several pages
+constexpr unsigned STATUS_OK = 200;
 constexpr unsigned STATUS_GONE = 410;
 constexpr unsigned STATUS_NOT_FOUND = 404;
 
@@ -83,26 +84,38 @@
 {
     const std::string key = targetOf(exchange).substr(ITEMS_PATH.size());
     const bool isRemoval = exchange->request().method() == boost::beast::http::verb::delete_;
-    if (isRemoval && m_items.erase(key) == 0) {
+    if (isRemoval && m_contents.items.erase(key) == 0) {
         exchange->respond({ STATUS_NOT_FOUND, "text/plain", "no item " + key + "\n", {} });
         return;
     }
-    ++m_revision;
+    ++m_contents.revision;
     if (!isRemoval) {
-        Item &item = m_items[key];
+        Item &item = m_contents.items[key];
         item.value = exchange->request().body();
-        item.revision = m_revision;
-        item.created = item.created == 0 ? m_revision : item.created;
+        item.revision = m_contents.revision;
+        item.created = item.created == 0 ? m_contents.revision : item.created;
     }
-    m_history.push_back({ m_revision, key, isRemoval });
-    exchange->respond({ 200, "text/plain", std::to_string(m_revision) + "\n", {} });
+    m_contents.history.push_back({ m_contents.revision, key, isRemoval });
+    exchange->respond({ 200, "text/plain", std::to_string(m_contents.revision) + "\n", {} });
     wakeWatches();
 }
 
 void PublishedStore::forgetHistory()
 {
-    m_history.clear();
-    m_oldest = m_revision;
+    m_contents.history.clear();
+    m_contents.oldest = m_contents.revision;
+    cutWatches();
+}
+
+void PublishedStore::takeCopy()
+{
+    m_copy = m_contents;
+}
+
+void PublishedStore::restoreCopy()
+{
+    m_contents = m_copy;
+    ++m_era;
     cutWatches();
 }
 
@@ -117,8 +130,8 @@
 void PublishedStore::list(const std::string &target, const Net::HttpExchangePointer &exchange) const
 {
     const std::string prefix = parameter(target, "prefix");
-    json page = { { "items", json::array() }, { "truncated", false }, { "currentRev", m_revision } };
-    for (auto item = m_items.upper_bound(parameter(target, "after")); item != m_items.end(); ++item) {
+    json page = { { "items", json::array() }, { "truncated", false }, { "currentRev", m_contents.revision } };
+    for (auto item = m_contents.items.upper_bound(parameter(target, "after")); item != m_contents.items.end(); ++item) {
         if (!boost::starts_with(item->first, prefix)) {
             continue;
         }
@@ -128,14 +141,14 @@
         }
         page["items"].push_back(json::parse(itemText(item->first, item->second)));
     }
-    exchange->respond({ 200, "application/json", page.dump(), {} });
+    respond(exchange, STATUS_OK, page.dump());
 }
 
 void PublishedStore::watch(const std::string &target, const Net::HttpExchangePointer &exchange)
 {
     const std::int64_t after = numberParameter(target, "after");
-    if (after < m_oldest) {
-        exchange->respond({ STATUS_GONE, "application/json", "{}", {} });
+    if (after < m_contents.oldest || after > m_contents.revision) {
+        respond(exchange, STATUS_GONE, "{}");
         return;
     }
     const std::string prefix = parameter(target, "prefix");
@@ -169,12 +182,12 @@
 {
     json events = json::array();
     std::set<std::string> told;
-    for (auto change = m_history.rbegin(); change != m_history.rend() && change->revision > after; ++change) {
+    for (auto change = m_contents.history.rbegin(); change != m_contents.history.rend() && change->revision > after; ++change) {
         if (!boost::starts_with(change->key, prefix) || !told.insert(change->key).second) {
             continue;
         }
         const json removed = { { "key", change->key }, { "revision", change->revision }, { "removed", true } };
-        events.push_back(change->isRemoved ? removed : json::parse(itemText(change->key, m_items.at(change->key))));
+        events.push_back(change->isRemoved ? removed : json::parse(itemText(change->key, m_contents.items.at(change->key))));
     }
     std::reverse(events.begin(), events.end());
     return events.empty() ? std::string() : events.dump();
@@ -182,7 +195,12 @@
 
 void PublishedStore::respondChanges(const Net::HttpExchangePointer &exchange, const std::string &events) const
 {
-    exchange->respond({ 200, "application/json", R"({"events":)" + events + R"(,"currentRev":)" + std::to_string(m_revision) + "}", {} });
+    respond(exchange, STATUS_OK, R"({"events":)" + events + R"(,"currentRev":)" + std::to_string(m_contents.revision) + "}");
+}
+
+void PublishedStore::respond(const Net::HttpExchangePointer &exchange, unsigned status, std::string body) const
+{
+    exchange->respond({ status, "application/json", std::move(body), { { "Store-Era", std::to_string(m_era) } } });
 }
 
 void PublishedStore::wakeWatches()
--- a/tests/standins/publishedstore.h
+++ b/tests/standins/publishedstore.h
@@ -27,6 +27,10 @@
     void write(const Net::HttpExchangePointer &exchange);
     /** Watches from before this moment are answered 410. */
     void forgetHistory();
+    /** Keeps a copy of what the store holds. */
+    void takeCopy();
+    /** Restores the last copy: what was written since is gone, revisions are given out again, and the era rises. */
+    void restoreCopy();
     /** Cuts the watches that wait. */
     void cutWatches();
 
@@ -41,6 +45,12 @@
         std::string key;
         bool isRemoved = false;
     };
+    struct Contents {
+        std::map<std::string, Item> items;
+        std::vector<Change> history;
+        std::int64_t revision = 1;
+        std::int64_t oldest = 0; ///< history up to here is gone
+    };
     struct Watch {
         std::string prefix;
         std::int64_t after = 0;
@@ -54,14 +64,14 @@
     /** Empty when nothing has changed. */
     std::string changesSince(const std::string &prefix, std::int64_t after) const;
     void respondChanges(const Net::HttpExchangePointer &exchange, const std::string &events) const;
+    void respond(const Net::HttpExchangePointer &exchange, unsigned status, std::string body) const;
     void wakeWatches();
 
     boost::asio::io_context &m_context;
-    std::map<std::string, Item> m_items;
-    std::vector<Change> m_history;
+    Contents m_contents;
+    Contents m_copy;
+    std::int64_t m_era = 1;
     std::list<Watch> m_watches;
-    std::int64_t m_revision = 1;
-    std::int64_t m_oldest = 0; ///< history up to here is gone
 };
 
 } // namespace CassiaRelay::StandIns
