Let a response of the store take as long as bytes arrive

Cause: a watch was given up 0.7 s after the time it may wait, a page of the listing after 2 s, however much had arrived, and read again from the start. With links of 1,000 Mbit/s nothing takes so long. A configuration of a megabyte takes 1.1 s on an idle link of 10 Mbit/s, and orders and greetings took up to half of such a link; every attempt was cut in the same way. Change: the time limits hold until the first byte and then between bytes; the whole response has ten seconds. Test: with the limit of before, responseThatKeepsArrivingIsNotCut fails.

--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -8,10 +8,13 @@
 namespace {
 
 constexpr unsigned STATUS_OK = 200;
-constexpr std::chrono::milliseconds WATCH_INTERVAL { 800 };   // a change is known at most this time plus one call later; 2 s are allowed
-constexpr std::chrono::milliseconds WATCH_WAIT { 1000 };      // long-poll time; a silent connection is detected RESPONSE_TIMEOUT later
-constexpr std::chrono::milliseconds RESPONSE_TIMEOUT { 700 }; // responses take milliseconds, or a few hundred while the store is slow
+constexpr std::chrono::milliseconds WATCH_INTERVAL { 800 }; // a change is known at most this time plus one call later; 2 s are allowed
+constexpr std::chrono::milliseconds WATCH_WAIT { 1000 };    // long-poll time; a silent connection is detected RESPONSE_TIMEOUT later
+constexpr std::chrono::milliseconds RESPONSE_TIMEOUT {
+    700
+}; // responses begin after milliseconds, or a few hundred while the store is slow
 constexpr std::chrono::milliseconds LIST_TIMEOUT { 2000 };
+constexpr std::chrono::seconds MAX_RESPONSE_TIME { 10 }; // a configuration of 1 MB over a busy link of 10 Mbit/s takes a few seconds
 constexpr std::chrono::milliseconds MIN_RETRY_DELAY { 200 };
 constexpr std::chrono::milliseconds MAX_RETRY_DELAY { 1000 }; // rejected calls have a cost, too; a recovery must be noticed within seconds
 constexpr int MAX_BACKOFF_DOUBLINGS = 3;
@@ -32,6 +35,7 @@
     , m_log(log)
     , m_changeHandler(std::move(changeHandler))
     , m_timer(context)
+    , m_silenceTimer(context)
 {
 }
 
@@ -44,6 +48,7 @@
 {
     m_isStopped = true;
     m_timer.cancel();
+    m_silenceTimer.cancel();
     if (m_call) {
         m_call->cancel();
     }
@@ -70,26 +75,55 @@
     sendCall(m_port.watchRequest(m_catalogue.revision(), WATCH_WAIT), WATCH_WAIT + RESPONSE_TIMEOUT, [this] { onChanges(); });
 }
 
-void StoreWatcher::sendCall(Gateway::PlatformRequest platformRequest, Duration timeout, std::function<void()> onReply)
+void StoreWatcher::sendCall(Gateway::PlatformRequest platformRequest, Duration timeToFirstByte, std::function<void()> onReply)
 {
     ++m_calls;
     m_reply = {};
     m_callStartedAt = std::chrono::steady_clock::now();
     Net::HttpCallRequest request = toCallRequest(m_store, std::move(platformRequest));
     request.contentType.clear();
-    request.deadline = m_callStartedAt + timeout;
+    request.deadline = m_callStartedAt + MAX_RESPONSE_TIME;
     request.connectTimeout = RESPONSE_TIMEOUT;
     Net::HttpCallHandlers handlers;
     handlers.onHead = [this](const Net::HttpCallHead &head) {
         m_reply.status = head.status;
         m_reply.era = m_port.storeEra(toFieldList(head.fields));
+        waitForBytes(RESPONSE_TIMEOUT);
     };
-    handlers.onBody = [this](const std::string &part) { m_reply.body += part; };
-    handlers.onFinished = std::move(onReply);
-    handlers.onFailed = [this](Net::CallFailure, const std::string &detail) { onFailure(detail); };
+    handlers.onBody = [this](const std::string &part) {
+        m_reply.body += part;
+        waitForBytes(RESPONSE_TIMEOUT);
+    };
+    handlers.onFinished = [this, onReply = std::move(onReply)] {
+        m_isCallOpen = false;
+        m_silenceTimer.cancel();
+        onReply();
+    };
+    handlers.onFailed = [this](Net::CallFailure, const std::string &detail) {
+        m_isCallOpen = false;
+        m_silenceTimer.cancel();
+        onFailure(detail);
+    };
+    m_isCallOpen = true;
+    waitForBytes(timeToFirstByte);
     m_call = m_client.send(std::move(request), std::move(handlers));
 }
 
+// A limit on the whole response would never let a large configuration through over a slow link: each attempt would start it anew.
+void StoreWatcher::waitForBytes(Duration time)
+{
+    m_silenceTimer.expires_after(time);
+    m_silenceTimer.async_wait([this, call = m_calls, time](const boost::system::error_code &error) {
+        // The timer may have expired just as the call ended.
+        if (error || m_isStopped || !m_isCallOpen || call != m_calls || m_silenceTimer.expiry() > std::chrono::steady_clock::now()) {
+            return;
+        }
+        m_isCallOpen = false;
+        m_call->cancel();
+        onFailure("nothing received for " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) + " ms");
+    });
+}
+
 // After the store was restored from a copy, revisions are given out again: neither the pages read so far nor the revision of the watch
 // belong to what the store holds now.
 bool StoreWatcher::restartInNewEra()
--- a/src/app/gateway/storewatcher.h
+++ b/src/app/gateway/storewatcher.h
@@ -47,7 +47,9 @@
 
     void list();
     void watch();
-    void sendCall(Gateway::PlatformRequest platformRequest, Duration timeout, std::function<void()> onReply);
+    /** @param timeToFirstByte the call fails when the response has not begun by then */
+    void sendCall(Gateway::PlatformRequest platformRequest, Duration timeToFirstByte, std::function<void()> onReply);
+    void waitForBytes(Duration time);
     bool restartInNewEra();
     void onPage();
     void onChanges();
@@ -63,6 +65,8 @@
     EventLog &m_log;
     ChangeHandler m_changeHandler;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_silenceTimer;
+    bool m_isCallOpen = false;
     std::shared_ptr<Net::HttpCall> m_call;
     Reply m_reply;
     std::vector<Gateway::StoreEntry> m_listedEntries; ///< entries of the pages read so far
--- a/tests/auto/gatewaydaemon/tst_storewatcher.cpp
+++ b/tests/auto/gatewaydaemon/tst_storewatcher.cpp
@@ -10,11 +10,17 @@
 
 namespace {
 
+std::string targetBody()
+{
+    return R"({"service":"s","address":"127.0.0.1:1","zone":"a","slots":1,"state":"ready","born":1,"seq":1})";
+}
+
 /** A store on loopback and a daemon's watch of it; both run on one thread. */
 class WatchedStore
 {
 public:
-    WatchedStore()
+    /** @param sendsSlowly responses to watches arrive in parts, over longer than a watch waits */
+    explicit WatchedStore(bool sendsSlowly = false)
         : m_store(m_server.get())
         , m_client(m_server.get())
         , m_log(Schema::LogLevel::Error)
@@ -25,6 +31,7 @@
                     m_catalogue,
                     m_log,
                     [this](const Gateway::CatalogueChanges &changes) { onChanges(changes); })
+        , m_sendsSlowly(sendsSlowly)
     {
         run([this] { m_watcher.start(); });
     }
@@ -39,7 +46,7 @@
 
     void publishTarget(const std::string &id)
     {
-        const std::string body = R"({"service":"s","address":"127.0.0.1:1","zone":"a","slots":1,"state":"ready","born":1,"seq":1})";
+        const std::string body = targetBody();
         Loopback::Client client(m_server.http().port());
         client.send("PUT /items/servers/" + id + " HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
                     + body);
@@ -95,11 +102,33 @@
     {
         if (StandIns::PublishedStore::isWrite(std::string(exchange->request().target()))) {
             m_store.write(exchange);
+        } else if (m_sendsSlowly && exchange->request().target().find("watch") != std::string_view::npos) {
+            exchange->startStream({ 200, "application/json", {}, {} });
+            sendPart(exchange, 0);
         } else {
             m_store.read(exchange);
         }
     }
 
+    // Ten parts, 300 ms apart: one changed target.
+    void sendPart(const Net::HttpExchangePointer &exchange, int part)
+    {
+        constexpr int PARTS = 10;
+        if (part == PARTS) {
+            exchange->writeStream(R"({"key":"servers/slow","revision":2,"createdRev":2,"lease":0,"value":")"
+                                  + StandIns::base64(targetBody()) + R"("}],"currentRev":2})");
+            exchange->finishStream();
+            return;
+        }
+        exchange->writeStream(part == 0 ? R"({"events":[)" : " ");
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_server.get(), 300ms);
+        timer->async_wait([this, timer, exchange, part](const boost::system::error_code &error) {
+            if (!error) {
+                sendPart(exchange, part + 1);
+            }
+        });
+    }
+
     Loopback::Server m_server { [this](const Net::HttpExchangePointer &exchange) { handle(exchange); } };
     StandIns::PublishedStore m_store;
     Net::HttpClient m_client;
@@ -108,6 +137,7 @@
     EventLog m_log;
     std::set<std::string> m_known;
     StoreWatcher m_watcher;
+    bool m_sendsSlowly;
 };
 
 } // namespace
@@ -142,3 +172,11 @@
     store.publishTarget("second");
     BOOST_TEST(store.waitUntilKnown("second"));
 }
+
+// Regression: a response that took longer than a watch and its margin was cut and read again from the start, so that a large
+// configuration never arrived over a slow link.
+BOOST_AUTO_TEST_CASE(responseThatKeepsArrivingIsNotCut)
+{
+    WatchedStore store(true);
+    BOOST_TEST(store.waitUntilKnown("slow"));
+}
--- a/tests/standins/publishedstore.cpp
+++ b/tests/standins/publishedstore.cpp
@@ -20,16 +20,6 @@
 constexpr unsigned STATUS_GONE = 410;
 constexpr unsigned STATUS_NOT_FOUND = 404;
 
-std::string base64(const std::string &bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
-                                       reinterpret_cast<const unsigned char *>(bytes.data()),
-                                       static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(length));
-    return text;
-}
-
 std::string parameter(const std::string &target, const std::string &name)
 {
     std::vector<std::string> pairs;
@@ -55,6 +45,16 @@
 
 } // namespace
 
+std::string base64(const std::string &bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                       reinterpret_cast<const unsigned char *>(bytes.data()),
+                                       static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
 PublishedStore::PublishedStore(boost::asio::io_context &context)
     : m_context(context)
 {
--- a/tests/standins/publishedstore.h
+++ b/tests/standins/publishedstore.h
@@ -10,6 +10,8 @@
 
 namespace CassiaRelay::StandIns {
 
+std::string base64(const std::string &bytes);
+
 /** The users' store as a daemon reads it: items with one revision counter, pages, and watches. Tests write the items. */
 class PublishedStore
 {
