Move the test of the store's watch beside the adapter

The test publishes items under the platform's names, which stay in platform/ and its tests; the check of names in lint said so. No check changes.

--- a/tests/auto/gatewaydaemon/tst_storewatcher.cpp
+++ b/tests/auto/platform/tst_storewatcher.cpp
@@ -1,3 +1,4 @@
+#define BOOST_TEST_MODULE storewatcher
 #include <app/gateway/storewatcher.h>
 #include <auto/net/loopback.h>
 #include <boost/test/unit_test.hpp>
