--- a/tests/auto/gateway/tst_members.cpp
+++ b/tests/auto/gateway/tst_members.cpp
@@ -166,14 +166,16 @@
     Members members(VmId("vm0"), endpoint(0));
     members.setSeeds({ endpoint(1) });
     BOOST_TEST(!members.maxKnownCount().has_value());
+    constexpr int COUNT = 81;
     std::vector<Endpoint> known;
-    for (int other = 0; other < 81; ++other) {
+    known.reserve(COUNT);
+    for (int other = 0; other < COUNT; ++other) {
         known.push_back(endpoint(other));
     }
     members.onGreeting(member(1), known, START);
-    BOOST_TEST(members.maxKnownCount().value_or(0) == 81);
+    BOOST_TEST(members.maxKnownCount().value_or(0) == COUNT);
     members.expire(START + seconds(60));
-    BOOST_TEST(members.maxKnownCount().value_or(0) == 81);
+    BOOST_TEST(members.maxKnownCount().value_or(0) == COUNT);
 }
 
 // Regression: after all daemons were restarted under load, orders timed out, and every daemon concluded that their owner was gone.
