--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -58,6 +58,12 @@
     def verb_send(self, request, route, vm, key=KEY):
         self.calls.setdefault(request, []).append(RoutedCall(self.fleet.vms[vm], route, request, key))
 
+    # limit TARGET RATE|none: requests per second that the target names in its answers
+    def verb_limit(self, name, rate):
+        limit = None if rate == "none" else float(rate)
+        status, answer = http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"rateLimit": limit}))
+        assert status == 200, answer
+
     # shut-down VM: the process has to end by itself
     def verb_shut_down(self, name):
         vm = self.fleet.vms[name]
--- a/tests/standins/routecall.cpp
+++ b/tests/standins/routecall.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/algorithm/string.hpp>
 
+#include <sstream>
+
 namespace CassiaRelay::StandIns {
 
 namespace {
@@ -26,6 +28,16 @@
     return std::to_string(load.running) + "," + std::to_string(load.waiting) + "," + std::to_string(load.slots);
 }
 
+void addOwnState(std::vector<HttpField> &fields, const TargetLoad &load)
+{
+    fields.push_back({ "X-Cassiarelay-Instance-Load", loadText(load) });
+    if (load.rateLimit) {
+        std::ostringstream text;
+        text << *load.rateLimit;
+        fields.push_back({ "Server-Limit", text.str() });
+    }
+}
+
 } // namespace
 
 bool isStageCall(const std::string &path)
@@ -59,16 +71,16 @@
 
 std::vector<HttpField> runFields(const RouteCall &call, const std::string &instance, const TargetLoad &load)
 {
-    return { { "X-Cassiarelay-Request-Id", call.id },
-             { "X-Cassiarelay-Response-Stamp", instance + "." + call.id },
-             { "X-Cassiarelay-Instance-Load", loadText(load) } };
+    std::vector<HttpField> fields { { "X-Cassiarelay-Request-Id", call.id }, { "X-Cassiarelay-Response-Stamp", instance + "." + call.id } };
+    addOwnState(fields, load);
+    return fields;
 }
 
 std::vector<HttpField> notRunFields(const RouteCall &call, const TargetLoad &load)
 {
-    return { { "X-Cassiarelay-Request-Id", call.id },
-             { "X-Cassiarelay-Not-Executed", "1" },
-             { "X-Cassiarelay-Instance-Load", loadText(load) } };
+    std::vector<HttpField> fields { { "X-Cassiarelay-Request-Id", call.id }, { "X-Cassiarelay-Not-Executed", "1" } };
+    addOwnState(fields, load);
+    return fields;
 }
 
 } // namespace CassiaRelay::StandIns
--- a/tests/standins/routecall.h
+++ b/tests/standins/routecall.h
@@ -26,6 +26,7 @@
     std::size_t running = 0;
     std::size_t waiting = 0;
     int slots = 0;
+    std::optional<double> rateLimit; ///< requests per second that it accepts from all daemons together
 };
 
 /** Path of a call for pieces. */
--- a/tests/standins/standintarget.cpp
+++ b/tests/standins/standintarget.cpp
@@ -152,10 +152,15 @@
 void StandInTarget::routedWork(const Net::HttpExchangePointer &exchange, const std::string &path, const json &body)
 {
     if (isStageFree(path)) {
+        m_rateLimit.recordArrival(std::chrono::steady_clock::now());
         m_routes->free(exchange, body);
         return;
     }
-    if (m_routes->turnsAway(exchange, load()) || refuses(exchange, body)) {
+    if (m_routes->turnsAway(exchange, load())) {
+        return;
+    }
+    m_rateLimit.recordArrival(std::chrono::steady_clock::now());
+    if (refuses(exchange, body)) {
         return;
     }
     ++m_totals.attempts;
@@ -285,6 +290,10 @@
     m_faults.refuse = fault.value("refuse", m_faults.refuse);
     m_faults.gap = fault.value("gap", m_faults.gap);
     m_faults.crossed = fault.value("crossed", m_faults.crossed);
+    if (fault.contains("rateLimit")) {
+        const json &limit = fault.at("rateLimit");
+        m_rateLimit.setLimit(limit.is_number() ? std::optional(limit.get<double>()) : std::nullopt, std::chrono::steady_clock::now());
+    }
     if (fault.value("cold", false)) {
         becomeCold();
     }
@@ -388,6 +397,7 @@
     };
     if (m_routes) {
         stats.update(m_routes->stats());
+        stats.update(m_rateLimit.stats());
     }
     return stats;
 }
@@ -399,7 +409,7 @@
 
 TargetLoad StandInTarget::load() const
 {
-    return { m_running.size(), m_waiting.size(), m_options.capacity };
+    return { m_running.size(), m_waiting.size(), m_options.capacity, m_rateLimit.limit() };
 }
 
 } // namespace CassiaRelay::StandIns
--- a/tests/standins/standintarget.h
+++ b/tests/standins/standintarget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "prefixcache.h"
+#include "ratelimitcheck.h"
 #include "routeservice.h"
 #include "targetoptions.h"
 #include "work.h"
@@ -64,6 +65,7 @@
     std::set<WorkPointer> m_running;
     std::deque<std::pair<WorkPointer, std::chrono::milliseconds>> m_waiting;
     std::map<std::string, std::uint64_t> m_runs;
+    RateLimitCheck m_rateLimit;
     std::optional<RouteService> m_routes;                          ///< of targets that serve routes of the users
     std::pair<Net::HttpExchangePointer, std::string> m_heldAnswer; ///< of the crossed fault
     std::int64_t m_highestFence = 0;
