Keep all daemons together within the rate limit that a target names

Cause: no code read the limit, and nothing counts requests over all daemons.

Change: the owner of a service issues a permit for each request to a limited target; the others ask it when such a target is the best one, and send elsewhere or refuse at once without a permit. The parts of a split fleet issue by the share of daemons that they hear. Statements spread with greetings, the newest wins, and they belong to one start of a target. Pieces, repeated and resumed sends and freed results count.

Why it works: every way to a target passes TargetRegistry::choose or startAttempt; only one daemon has tokens, so the sum does not depend on how many daemons there are; what two owners may issue while they disagree fits between 0.9 and 1.5 times the limit.

Ruled out: equal shares, which allow one request in 380 s at 380 daemons and a limit of 1.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -93,8 +93,9 @@
     , m_retries(toRetryLimits(settings))
     , m_relayContext { m_targets, m_retries, m_crashes, m_stageLatencyEstimator, settings.maxVms }
     , m_members(settings.vm, settings.peers.value_or(settings.callers), settings.capacity)
-    , m_pieceBroker(m_context, m_targetClient, m_peerClient, port, m_targets, m_members, m_metrics, m_log)
-    , m_services { m_context, m_targetClient, port, m_catalogue, m_relayContext, m_pieceBroker, m_metrics, m_log }
+    , m_permitBroker(m_context, m_peerClient, m_targets, m_members, m_metrics, m_log)
+    , m_pieceBroker(m_context, m_targetClient, m_peerClient, port, m_targets, m_members, m_permitBroker, m_metrics, m_log)
+    , m_services { m_context, m_targetClient, port, m_catalogue, m_relayContext, m_pieceBroker, m_permitBroker, m_metrics, m_log }
     , m_requestDispatcher(m_services)
     , m_watcher(m_context,
                 m_storeClient,
@@ -122,11 +123,22 @@
     m_metricsServer = serve(settings.metrics, &GatewayDaemon::handleMetrics);
     if (settings.peers) {
         m_peerServer = serve(*settings.peers, &GatewayDaemon::handlePeer);
-        m_peerGossip = std::make_unique<PeerGossip>(
-            m_context, m_peerClient, settings.vm, *settings.peers, settings.capacity, m_members, m_crashes, m_metrics, m_log, [this] {
-                onMembersChanged();
-            });
+        m_peerGossip = std::make_unique<PeerGossip>(m_context,
+                                                    m_peerClient,
+                                                    settings.vm,
+                                                    *settings.peers,
+                                                    settings.capacity,
+                                                    m_members,
+                                                    m_crashes,
+                                                    m_targets.rateLimits(),
+                                                    m_permitBroker,
+                                                    m_metrics,
+                                                    m_log,
+                                                    [this] { onMembersChanged(); });
         m_members.setSeeds(settings.seeds);
+        m_targets.rateLimits().setShareFunction(
+            [this](const Gateway::ServiceName &service) { return m_members.ownedShare(service, m_settings.maxVms); },
+            std::chrono::steady_clock::now());
     }
     m_targets.setVmCount(settings.maxVms);
 }
@@ -244,6 +256,7 @@
     const int vms = known ? std::max(MIN_SHARED_VMS, *known) : m_settings.maxVms;
     m_targets.setVmCount(vms);
     m_relayContext.vmCount = vms;
+    m_permitBroker.onMembersChanged();
     m_pieceBroker.onMembersChanged();
 }
 
@@ -252,6 +265,8 @@
     const std::string target(exchange->request().target());
     if (target == PeerGossip::PATH) {
         m_peerGossip->handleGreeting(exchange);
+    } else if (target == PermitBroker::PATH) {
+        m_permitBroker.handleRequest(exchange);
     } else if (target == PieceBroker::ORDERS_PATH) {
         m_pieceBroker.handleOrder(exchange);
     } else if (target == PieceBroker::FREED_RESULTS_PATH) {
@@ -389,8 +404,10 @@
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
     onCatalogueChanges(m_catalogue.expire(now));
+    m_targets.rateLimits().removeExpired(now);
     m_targetClient.closeExpired();
     m_peerClient.closeExpired();
+    m_pieceBroker.sendDeferredFrees();
     m_pieceBroker.logBacklog();
     reloadIfChanged();
     m_log.flush(now);
--- a/src/app/gateway/gatewaydaemon.h
+++ b/src/app/gateway/gatewaydaemon.h
@@ -66,6 +66,7 @@
     Gateway::StageLatencyEstimator m_stageLatencyEstimator;
     Gateway::RelayContext m_relayContext;
     Gateway::Members m_members;
+    PermitBroker m_permitBroker;
     PieceBroker m_pieceBroker;
     GatewayServices m_services;
     RequestDispatcher m_requestDispatcher;
--- a/src/app/gateway/gatewayservices.h
+++ b/src/app/gateway/gatewayservices.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "eventlog.h"
+#include "permitbroker.h"
 #include "piecebroker.h"
 
 #include <gateway/gateway.h>
@@ -27,6 +28,7 @@
     const Gateway::Catalogue &catalogue;
     Gateway::RelayContext &relayContext;
     PieceBroker &pieceBroker;
+    PermitBroker &permitBroker;
     Metrics::Registry &metrics;
     EventLog &log;
     std::set<RelaySession *> sessions = {}; ///< requests without a final response
--- a/src/app/gateway/peergossip.cpp
+++ b/src/app/gateway/peergossip.cpp
@@ -1,6 +1,7 @@
 #include "peergossip.h"
 
 #include "callrequests.h"
+#include "permitmessages.h"
 
 namespace CassiaRelay::GatewayDaemon {
 
@@ -9,6 +10,8 @@
 constexpr std::chrono::milliseconds GREETING_INTERVAL { 300 };        // a daemon counts as lost after 1 s without a greeting
 constexpr std::chrono::milliseconds GREETING_REQUEST_TIMEOUT { 500 }; // slow machines respond late, but before they count as lost after 1 s
 
+constexpr std::size_t MAX_RATE_LIMITS = 32; // in a greeting; targets in need are few at a time
+
 std::string toHex(Fingerprint fingerprint)
 {
     constexpr int DIGITS = 16;
@@ -35,6 +38,8 @@
                        double capacity,
                        Gateway::Members &members,
                        Gateway::CrashTracker &crashes,
+                       const Gateway::TargetRateLimits &rateLimits,
+                       PermitBroker &permitBroker,
                        Metrics::Registry &metrics,
                        EventLog &log,
                        ChangeHandler onChange)
@@ -45,6 +50,8 @@
     , m_incarnation(newIncarnation())
     , m_members(members)
     , m_crashes(crashes)
+    , m_rateLimits(rateLimits)
+    , m_permitBroker(permitBroker)
     , m_log(log)
     , m_sentCounter(metrics.counter("cassiarelay_greetings_sent_total"))
     , m_byteCounter(metrics.counter("cassiarelay_greeting_bytes_sent_total"))
@@ -153,6 +160,14 @@
     for (const Gateway::CrashCount &count : m_crashes.localCounts(std::chrono::steady_clock::now())) {
         greeting.crashes.push_back({ count.crashes, toHex(count.fingerprint) });
     }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    std::vector<Schema::TargetRateLimit> limits;
+    for (const Gateway::RateLimitReport &report : m_rateLimits.newestReports(MAX_RATE_LIMITS)) {
+        limits.push_back(toMessage(report, now));
+    }
+    if (!limits.empty()) {
+        greeting.limits = std::move(limits);
+    }
     return Schema::toCbor(greeting);
 }
 
@@ -174,6 +189,9 @@
         crashes.push_back(toCrashCount(report));
     }
     m_crashes.merge(member.vm, crashes, now);
+    for (const Schema::TargetRateLimit &limit : greeting.limits.value_or(std::vector<Schema::TargetRateLimit>())) {
+        m_permitBroker.onReport(fromMessage(limit, now));
+    }
     if (m_members.onGreeting(member, known, now)) {
         m_log.write("peer changed",
                     { { "vm", member.vm.value() },
--- a/src/app/gateway/peergossip.h
+++ b/src/app/gateway/peergossip.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "eventlog.h"
+#include "permitbroker.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <gateway/gateway.h>
@@ -13,7 +14,8 @@
 
 namespace CassiaRelay::GatewayDaemon {
 
-/** Exchanges greetings with the other daemons, so that each knows which daemons are alive and which requests have crashed targets. */
+/** Exchanges greetings with the other daemons, so that each knows which daemons are alive, which requests have crashed
+ * targets and which targets have named a rate limit. */
 class PeerGossip
 {
 public:
@@ -26,6 +28,8 @@
                double capacity,
                Gateway::Members &members,
                Gateway::CrashTracker &crashes,
+               const Gateway::TargetRateLimits &rateLimits,
+               PermitBroker &permitBroker,
                Metrics::Registry &metrics,
                EventLog &log,
                ChangeHandler onChange);
@@ -54,6 +58,8 @@
     Incarnation m_incarnation;
     Gateway::Members &m_members;
     Gateway::CrashTracker &m_crashes;
+    const Gateway::TargetRateLimits &m_rateLimits;
+    PermitBroker &m_permitBroker;
     EventLog &m_log;
     Metrics::Counter &m_sentCounter;
     Metrics::Counter &m_byteCounter; ///< sent with greetings and responses to greetings
--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::milliseconds DISPATCH_INTERVAL { 25 }; // about a tenth of the duration of a stage call
 constexpr std::chrono::milliseconds FREE_BATCH_DELAY { 10 };  // batches several requests; 30 ms kept result memory occupied for too long
 constexpr std::chrono::milliseconds FREE_TIMEOUT { 1000 };
+constexpr std::size_t MAX_DEFERRED_FREES = 1000;                   // by target; its other results lapse
 constexpr std::chrono::milliseconds OWNER_RESPONSE_MARGIN { 100 }; // time after the hard deadline for the owner's response to arrive
 
 std::string_view toString(Gateway::AttemptResult result)
@@ -59,6 +60,7 @@
                          const Gateway::PlatformPort &port,
                          Gateway::TargetRegistry &targets,
                          Gateway::Members &members,
+                         PermitBroker &permitBroker,
                          Metrics::Registry &metrics,
                          EventLog &log)
     : m_targetClient(targetClient)
@@ -66,6 +68,7 @@
     , m_port(port)
     , m_targets(targets)
     , m_members(members)
+    , m_permitBroker(permitBroker)
     , m_log(log)
     , m_callCounter(metrics.counter("cassiarelay_stage_calls_total"))
     , m_pieceCounter(metrics.counter("cassiarelay_stage_pieces_total"))
@@ -359,6 +362,9 @@
     }
     applyProgress(scheduler.expire(m_targets, now));
     if (scheduler.waitingPieces() > 0) {
+        if (m_targets.rateLimits().canRequestPermits(service, now)) {
+            m_permitBroker.request(service, [](const std::string &) {});
+        }
         scheduleDispatch();
     }
 }
@@ -404,6 +410,9 @@
     if (response.load) {
         m_targets.setReportedLoad(call.target.id, *response.load, now);
     }
+    if (response.rateLimit) {
+        m_permitBroker.onRateLimit(call.target, *response.rateLimit);
+    }
     if (response.head.status != STATUS_OK) {
         const bool refused = response.head.isNotRun || response.head.status == STATUS_MISDIRECTED;
         onCallFailed(service,
@@ -551,22 +560,54 @@
         if (!record) {
             continue;
         }
-        std::vector<std::string> handles;
-        for (const Gateway::StageResult &result : freed) {
-            handles.push_back(result.handle);
+        if (!m_targets.rateLimits().isLimited(*record)) {
+            sendFree(*record, freed);
+            continue;
+        }
+        std::vector<Gateway::StageResult> &deferred = m_deferredFrees[target];
+        deferred.insert(deferred.end(), freed.begin(), freed.end());
+        if (deferred.size() > MAX_DEFERRED_FREES) {
+            deferred.erase(deferred.begin(), deferred.end() - MAX_DEFERRED_FREES);
+        }
+    }
+}
+
+// A request that frees results counts toward the rate limit of its target, so the results of a second are freed at once.
+void PieceBroker::sendDeferredFrees()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    for (auto entry = m_deferredFrees.begin(); entry != m_deferredFrees.end();) {
+        const std::optional<Gateway::TargetRecord> record = m_targets.find(entry->first);
+        if (record && !m_targets.rateLimits().canSend(*record, now)) {
+            ++entry;
+            continue;
+        }
+        if (record) {
+            m_targets.rateLimits().recordSent(*record, now);
+            sendFree(*record, entry->second);
         }
-        Net::HttpCallRequest request = toCallRequest(record->endpoint, m_port.freeRequest(handles));
-        request.deadline = std::chrono::steady_clock::now() + FREE_TIMEOUT;
-        request.maxIdleConnections = m_targets.maxIdleConnections(record->service);
-        Net::HttpCallHandlers handlers;
-        handlers.onFinished = [this, service = record->service, freed = std::move(freed)] { onFreed(service, freed); };
-        handlers.onFailed = [this, id = target](Net::CallFailure, const std::string &reason) {
-            m_log.write("results not freed", { { "target", id.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
-        };
-        m_targetClient.send(std::move(request), std::move(handlers));
+        entry = m_deferredFrees.erase(entry);
     }
 }
 
+void PieceBroker::sendFree(const Gateway::TargetRecord &target, const std::vector<Gateway::StageResult> &results)
+{
+    std::vector<std::string> handles;
+    handles.reserve(results.size());
+    for (const Gateway::StageResult &result : results) {
+        handles.push_back(result.handle);
+    }
+    Net::HttpCallRequest request = toCallRequest(target.endpoint, m_port.freeRequest(handles));
+    request.deadline = std::chrono::steady_clock::now() + FREE_TIMEOUT;
+    request.maxIdleConnections = m_targets.maxIdleConnections(target.service);
+    Net::HttpCallHandlers handlers;
+    handlers.onFinished = [this, service = target.service, results] { onFreed(service, results); };
+    handlers.onFailed = [this, id = target.id](Net::CallFailure, const std::string &reason) {
+        m_log.write("results not freed", { { "target", id.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
+    };
+    m_targetClient.send(std::move(request), std::move(handlers));
+}
+
 // Releases the memory only after the target has confirmed; a stage call that arrived before would be rejected for lack of memory.
 void PieceBroker::onFreed(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results)
 {
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "eventlog.h"
+#include "permitbroker.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <gateway/gateway.h>
@@ -31,6 +32,7 @@
                 const Gateway::PlatformPort &port,
                 Gateway::TargetRegistry &targets,
                 Gateway::Members &members,
+                PermitBroker &permitBroker,
                 Metrics::Registry &metrics,
                 EventLog &log);
 
@@ -48,6 +50,8 @@
     void onMembersChanged();
     /** Dispatches the waiting pieces of all services after targets have changed. */
     void dispatchAll();
+    /** Frees the results at targets that had reached their rate limit before. Call about once per second. */
+    void sendDeferredFrees();
     /** Logs the waiting pieces of each service. Call about once per second. */
     void logBacklog();
     void stop();
@@ -95,6 +99,7 @@
                                  const Gateway::ServiceName &service,
                                  const std::vector<Gateway::StageResult> &results);
     void freeAtTargets(const std::vector<Gateway::StageResult> &results);
+    void sendFree(const Gateway::TargetRecord &target, const std::vector<Gateway::StageResult> &results);
     void onFreed(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results);
 
     Net::HttpClient &m_targetClient;
@@ -102,6 +107,7 @@
     const Gateway::PlatformPort &m_port;
     Gateway::TargetRegistry &m_targets;
     Gateway::Members &m_members;
+    PermitBroker &m_permitBroker;
     EventLog &m_log;
     Metrics::Counter &m_callCounter;
     Metrics::Counter &m_pieceCounter;
@@ -113,6 +119,7 @@
     std::unordered_map<Gateway::ServiceName, Gateway::PieceCapacity> m_capacities;
     std::map<Gateway::OrderId, PendingOrder> m_orders;
     std::map<Gateway::ServiceName, std::vector<Gateway::StageResult>> m_freedResults; ///< not yet reported to the owner of the service
+    std::map<TargetId, std::vector<Gateway::StageResult>> m_deferredFrees;            ///< at targets with a rate limit
     boost::asio::steady_timer m_dispatchTimer;
     boost::asio::steady_timer m_freeTimer;
     bool m_isDispatchScheduled = false;
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -135,12 +135,21 @@
     m_services.pieceBroker.free(action.results);
 }
 
+void RelaySession::perform(const Gateway::RequestPermitsFor &action)
+{
+    addTraceLine("permits requested", "service=" + action.service.value());
+    m_services.permitBroker.request(action.service, [self = shared_from_this()](const std::string &outcome) {
+        self->addTraceLine("permits answered", outcome);
+        self->perform(self->m_machine.onPermits(std::chrono::steady_clock::now()));
+    });
+}
+
 void RelaySession::perform(const Gateway::SendRequest &action)
 {
     const Gateway::AttemptNumber attempt = action.attempt;
     const auto self = shared_from_this();
     Net::HttpCallHandlers handlers;
-    handlers.onHead = [self, attempt, target = action.target.id](const Net::HttpCallHead &head) {
+    handlers.onHead = [self, attempt, target = action.target](const Net::HttpCallHead &head) {
         self->onResponseHead(attempt, target, head);
     };
     handlers.onBody = [self, attempt](const std::string &part) {
@@ -251,15 +260,18 @@
     return request;
 }
 
-void RelaySession::onResponseHead(Gateway::AttemptNumber attempt, const TargetId &target, const Net::HttpCallHead &head)
+void RelaySession::onResponseHead(Gateway::AttemptNumber attempt, const Gateway::TargetRecord &target, const Net::HttpCallHead &head)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
     Gateway::TargetResponse response = m_services.port.readTargetResponse(head.status, toFieldList(head.fields));
     if (response.load) {
-        m_services.relayContext.targets.setReportedLoad(target, *response.load, now);
+        m_services.relayContext.targets.setReportedLoad(target.id, *response.load, now);
     }
     if (response.coldFor) {
-        m_services.relayContext.targets.setColdTime(target, *response.coldFor, now);
+        m_services.relayContext.targets.setColdTime(target.id, *response.coldFor, now);
+    }
+    if (response.rateLimit) {
+        m_services.permitBroker.onRateLimit(target, *response.rateLimit);
     }
     perform(m_machine.onHead(attempt, std::move(response.head), now));
 }
--- a/src/app/gateway/relaysession.h
+++ b/src/app/gateway/relaysession.h
@@ -31,6 +31,7 @@
     void perform(const Gateway::OrderPieces &action);
     void perform(const Gateway::WithdrawPieces &action);
     void perform(const Gateway::FreeResults &action);
+    void perform(const Gateway::RequestPermitsFor &action);
     void perform(const Gateway::SendRequest &action);
     void perform(const Gateway::CancelAttempt &action);
     void perform(const Gateway::ForwardResponse &action);
@@ -44,7 +45,7 @@
     void perform(const Gateway::LogDecision &action);
     Net::HttpCallRequest targetRequest(const Gateway::SendRequest &action) const;
     void onStageFinished(std::size_t stage, const std::vector<Gateway::PieceCompletion> &completions);
-    void onResponseHead(Gateway::AttemptNumber attempt, const TargetId &target, const Net::HttpCallHead &head);
+    void onResponseHead(Gateway::AttemptNumber attempt, const Gateway::TargetRecord &target, const Net::HttpCallHead &head);
     void finish(std::string_view outcome, unsigned status, const std::string &reason);
     void addTraceLine(std::string_view decision, const std::string &inputs);
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -23,5 +23,6 @@
 #include "stageplan.h"
 #include "stagescheduler.h"
 #include "storeentry.h"
+#include "targetratelimits.h"
 #include "targetrecord.h"
 #include "targetregistry.h"
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -23,6 +23,11 @@
 {
 }
 
+const VmId &Members::self() const
+{
+    return m_self;
+}
+
 void Members::setSeeds(std::vector<Endpoint> seeds)
 {
     for (auto candidate = m_candidates.begin(); candidate != m_candidates.end();) {
@@ -222,6 +227,16 @@
     return true;
 }
 
+std::optional<double> Members::ownedShare(const ServiceName &service, int maxVms) const
+{
+    if (owner(service)) {
+        return std::nullopt;
+    }
+    // Without candidates, this is the only daemon.
+    const int known = maxKnownCount().value_or(m_candidates.empty() ? 1 : maxVms);
+    return static_cast<double>(count()) / std::max(known, count());
+}
+
 void Members::setLeaving()
 {
     m_isLeaving = true;
@@ -250,6 +265,12 @@
 // The first greeting lists all daemons, long before each of them was heard.
 void Members::updateMaxKnownCount()
 {
+    const bool hasCandidates =
+        std::any_of(m_candidates.begin(), m_candidates.end(), [](const auto &entry) { return !entry.second.isSeed; });
+    if (!hasCandidates) {
+        m_maxKnownCount = std::max(m_maxKnownCount, count());
+        return;
+    }
     std::set<std::string> addresses;
     for (const auto &[vm, state] : m_members) {
         addresses.insert(state.member.endpoint.text());
--- a/src/libs/gateway/members.h
+++ b/src/libs/gateway/members.h
@@ -32,6 +32,7 @@
     /** @param capacity processing capacity of this VM, compared with the others */
     Members(VmId self, Endpoint endpoint, double capacity = 1);
 
+    const VmId &self() const;
     void setSeeds(std::vector<Endpoint> seeds);
     /** @return true when the member is new, has a new incarnation or has started or stopped leaving */
     bool onGreeting(const Member &member, const std::vector<Endpoint> &known, MonotonicTime now);
@@ -62,6 +63,14 @@
      * @return whether the order may be placed again; if so, availableOwner() skips the daemon for a while
      */
     bool onOrderFailed(const VmId &vm, MonotonicTime hardDeadline, MonotonicTime now);
+    /**
+     * Share of the daemons for which this one decides as owner of the service; no value if another daemon is the owner.
+     *
+     * In a fleet that is split, each part has an owner. Its share is that of the daemons it still hears, so that the owners together do not
+     * decide for many more daemons than there are.
+     * @param maxVms daemons that are assumed until another one was heard
+     */
+    std::optional<double> ownedShare(const ServiceName &service, int maxVms) const;
     void setLeaving();
     /** Number of daemons that are alive, including this one. */
     int count() const;
--- a/src/libs/gateway/platformport.h
+++ b/src/libs/gateway/platformport.h
@@ -39,6 +39,7 @@
     ResponseHead head;
     std::optional<ReportedLoad> load;
     std::optional<Duration> coldFor;
+    std::optional<RateLimitStatement> rateLimit; ///< no value if the response says nothing that can be read
 };
 
 /** An HTTP request in the format of the platform. */
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -44,6 +44,11 @@
     std::size_t maxIdleConnections = 0; ///< to this target, after the response
 };
 
+/** Gets permits for the targets of the service from another daemon, then calls RelayMachine::onPermits(). */
+struct RequestPermitsFor {
+    ServiceName service;
+};
+
 /** Closes the connection of the attempt. */
 struct CancelAttempt {
     AttemptNumber attempt = 0;
@@ -98,6 +103,7 @@
 using RelayAction = std::variant<OrderPieces,
                                  WithdrawPieces,
                                  FreeResults,
+                                 RequestPermitsFor,
                                  SendRequest,
                                  CancelAttempt,
                                  ForwardResponse,
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -121,6 +121,15 @@
     return actions;
 }
 
+RelayActions RelayMachine::onPermits(MonotonicTime now)
+{
+    RelayActions actions;
+    if (!m_finished) {
+        send(actions, now);
+    }
+    return actions;
+}
+
 RelayActions RelayMachine::onHead(AttemptNumber attempt, ResponseHead head, MonotonicTime now)
 {
     RelayActions actions;
@@ -411,6 +420,10 @@
                                        + " cold=" + (chosen.isCold ? "yes" : "no"));
                        sendTo(chosen.record, actions, now);
                    },
+                   [&](const PermitsNeeded &needed) {
+                       m_permitTarget = needed.best;
+                       actions.emplace_back(RequestPermitsFor { m_request.service });
+                   },
                    [&](const NoTarget &none) { fallBackOrGiveUp(GiveUpCause::NoTarget, none.reason, none.retryAfter, actions); },
                },
                m_context.targets.choose(targetRequirements(), now));
@@ -424,6 +437,7 @@
     attempt.sentAt = now;
     attempt.pendingPromptTokens = m_request.prompt.promptTokens;
     m_attempt = std::move(attempt);
+    m_permitTarget.reset();
     m_triedTargets.insert(target.id);
     m_avoidedTargets.insert(target.id);
     SendRequest send;
@@ -453,6 +467,8 @@
         requirements.inputDomain = inputDomain();
     }
     requirements.allowedRegions = m_request.route->allowedRegions;
+    requirements.mayRequestPermits = !m_permitTarget;
+    requirements.preferredTarget = m_permitTarget;
     const std::vector<PromptPart> &parts = m_request.prompt.parts;
     if (parts.size() > 1) {
         std::string sharedPrefix;
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -43,6 +43,8 @@
 
     RelayActions start(MonotonicTime now);
     RelayActions onStageFinished(std::size_t stage, const std::vector<PieceCompletion> &completions, MonotonicTime now);
+    /** The issuer has answered or can't be asked; permits that it issued are known to the target registry. */
+    RelayActions onPermits(MonotonicTime now);
     RelayActions onHead(AttemptNumber attempt, ResponseHead head, MonotonicTime now);
     RelayActions onBody(AttemptNumber attempt, std::string_view bytes, MonotonicTime now);
     RelayActions onFinished(AttemptNumber attempt, MonotonicTime now);
@@ -112,7 +114,8 @@
     RunState m_runState = RunState::NotRun;
     std::optional<Fallback> m_fallback;
     EventFramer m_framer;
-    bool m_inputsFreed = false; ///< the stage results were freed at the first event
+    std::optional<TargetId> m_permitTarget; ///< target for which permits were requested, until a target is chosen
+    bool m_inputsFreed = false;             ///< the stage results were freed at the first event
     bool m_streamStarted = false;
     bool m_finished = false;
 };
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -16,7 +16,8 @@
 constexpr std::chrono::milliseconds REPORTED_LOAD_LIFETIME { 1000 }; // half of the running requests of a target end within about this time
 constexpr std::chrono::milliseconds NO_TARGET_RETRY { 1000 };        // a crashed target is usually back after seconds
 constexpr std::chrono::milliseconds COLD_RETRY { 500 };              // half of the window in which cold starts are counted
-constexpr std::size_t MAX_IDLE_CONNECTIONS = 4;                      // more are rarely reused before they expire
+constexpr std::chrono::milliseconds RATE_LIMIT_RETRY { 1000 }; // targets in need are few at a time; others have capacity again by then
+constexpr std::size_t MAX_IDLE_CONNECTIONS = 4;                // more are rarely reused before they expire
 constexpr double IDLE_CONNECTION_SHARE = 0.5;   // the rest is for connections in use; a target with a long queue accepts fewer
 constexpr double COLD_RATE_SAFETY_FACTOR = 0.8; // requests sent within one second may arrive within a shorter time
 
@@ -87,15 +88,31 @@
     if (allowed.empty()) {
         return NoTarget { "no target of the service may get work", NO_TARGET_RETRY };
     }
+    std::vector<Target *> warm;
     std::vector<Target *> ready;
     for (Target *target : allowed) {
-        if (hasColdCapacity(*target, now)) {
+        if (!hasColdCapacity(*target, now)) {
+            continue;
+        }
+        warm.push_back(target);
+        if (m_rateLimits.canSend(target->record, now)) {
             ready.push_back(target);
         }
     }
-    if (ready.empty()) {
+    if (warm.empty()) {
         return NoTarget { "all targets of the service are cold and at their limit", COLD_RETRY };
     }
+    const bool mayAsk =
+        requirements.mayRequestPermits && ready.size() < warm.size() && m_rateLimits.canRequestPermits(requirements.service, now);
+    if (mayAsk) {
+        const TargetRecord &best = selectBest(warm, requirements, now).record;
+        if (ready.empty() || !m_rateLimits.canSend(best, now)) {
+            return PermitsNeeded { best.id };
+        }
+    }
+    if (ready.empty()) {
+        return NoTarget { "all targets of the service are at their rate limit", RATE_LIMIT_RETRY };
+    }
     Target &chosen = selectBest(ready, requirements, now);
     ChosenTarget choice;
     choice.record = chosen.record;
@@ -118,7 +135,8 @@
 bool TargetRegistry::startAttempt(const TargetId &id, std::int64_t tokens, MonotonicTime now)
 {
     const auto found = m_targets.find(id);
-    if (found == m_targets.end() || !isAllowed(found->second, {}) || !hasColdCapacity(found->second, now)) {
+    if (found == m_targets.end() || !isAllowed(found->second, {}) || !hasColdCapacity(found->second, now)
+        || !m_rateLimits.canSend(found->second.record, now)) {
         return false;
     }
     recordAttemptStart(found->second, tokens, now);
@@ -171,6 +189,11 @@
     }
 }
 
+void TargetRegistry::setRateLimit(const TargetRecord &target, const RateLimitStatement &statement, MonotonicTime now)
+{
+    m_rateLimits.apply({ target.id, target.startedAt, target.service, statement.perSecond, now }, now);
+}
+
 std::vector<TargetRecord> TargetRegistry::usableTargets(const ServiceName &service, MonotonicTime now) const
 {
     std::vector<TargetRecord> records;
@@ -180,7 +203,7 @@
     }
     for (const TargetId &id : ids->second) {
         const Target &target = m_targets.at(id);
-        if (!isAllowed(target, {}) || target.health.isSuspect(now)) {
+        if (!isAllowed(target, {}) || target.health.isSuspect(now) || !m_rateLimits.canSend(target.record, now)) {
             continue;
         }
         records.push_back(target.record);
@@ -216,6 +239,16 @@
     return std::min(MAX_IDLE_CONNECTIONS, static_cast<std::size_t>(share));
 }
 
+TargetRateLimits &TargetRegistry::rateLimits()
+{
+    return m_rateLimits;
+}
+
+const TargetRateLimits &TargetRegistry::rateLimits() const
+{
+    return m_rateLimits;
+}
+
 bool TargetRegistry::isAllowed(const Target &target, const std::vector<Region> &regions) const
 {
     if (target.record.isLeaving || m_disabledDomains.count(target.record.failureDomain) > 0) {
@@ -289,6 +322,12 @@
                                                    const TargetRequirements &requirements,
                                                    MonotonicTime now)
 {
+    const auto preferred = std::find_if(candidates.begin(), candidates.end(), [&requirements](const Target *target) {
+        return target->record.id == requirements.preferredTarget;
+    });
+    if (preferred != candidates.end()) {
+        return **preferred;
+    }
     const Duration latency = meanLatency(candidates);
     struct ScoredTarget {
         Target *target;
@@ -340,6 +379,7 @@
 {
     ++target.running;
     target.pendingPromptTokens += tokens;
+    m_rateLimits.recordSent(target.record, now);
     if (target.coldUntil > now) {
         target.recentColdStarts.add(now);
         target.lastColdStartAt = now;
--- a/src/libs/gateway/targetregistry.h
+++ b/src/libs/gateway/targetregistry.h
@@ -2,6 +2,7 @@
 
 #include "slidingwindowcounter.h"
 #include "targethealth.h"
+#include "targetratelimits.h"
 #include "targetrecord.h"
 
 #include <map>
@@ -21,6 +22,8 @@
     std::int64_t tokens = 0;                  ///< prompt tokens that the target has to process
     std::optional<FailureDomain> inputDomain; ///< domain that stores the large inputs of the request
     std::vector<Region> allowedRegions;       ///< all regions if empty
+    bool mayRequestPermits = false;           ///< PermitsNeeded is a possible choice
+    std::optional<TargetId> preferredTarget;  ///< PermitsNeeded::best, once permits were requested
 };
 
 struct ChosenTarget {
@@ -35,7 +38,12 @@
     Duration retryAfter {};
 };
 
-using TargetChoice = std::variant<ChosenTarget, NoTarget>;
+/** The best target has a rate limit, and another daemon may issue permits for it. */
+struct PermitsNeeded {
+    TargetId best;
+};
+
+using TargetChoice = std::variant<ChosenTarget, PermitsNeeded, NoTarget>;
 
 /** Load that a target reports about itself. */
 struct ReportedLoad {
@@ -76,6 +84,8 @@
     void addLatencySample(const TargetId &id, Duration latency);
     void setReportedLoad(const TargetId &id, const ReportedLoad &load, MonotonicTime now);
     void setColdTime(const TargetId &id, Duration coldFor, MonotonicTime now);
+    /** Applies what a response of the target said about its request rate limit. */
+    void setRateLimit(const TargetRecord &target, const RateLimitStatement &statement, MonotonicTime now);
 
     /** Returns the targets of the service that may be given work now. */
     std::vector<TargetRecord> usableTargets(const ServiceName &service, MonotonicTime now) const;
@@ -85,6 +95,8 @@
     std::size_t size() const;
     /** Returns how many idle connections this daemon may keep to one target of the service. */
     std::size_t maxIdleConnections(const ServiceName &service) const;
+    TargetRateLimits &rateLimits();
+    const TargetRateLimits &rateLimits() const;
 
 private:
     struct Target {
@@ -116,6 +128,7 @@
     std::unordered_map<ServiceName, std::set<TargetId>> m_byService;
     std::unordered_map<ServiceName, Service> m_services;
     std::set<FailureDomain> m_disabledDomains;
+    TargetRateLimits m_rateLimits;
 };
 
 } // namespace CassiaRelay::Gateway
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -223,6 +223,79 @@
     BOOST_TEST(find<AbortStream>(last));
 }
 
+namespace {
+
+// All targets have a rate limit, and another daemon issues the permits.
+struct LimitedFixture : Fixture {
+    LimitedFixture()
+        : Fixture(2)
+    {
+        targets.rateLimits().setShareFunction([](const ServiceName &) { return std::nullopt; }, START);
+        for (const TargetRecord &record : { *targets.find(TargetId("t0")), *targets.find(TargetId("t1")) }) {
+            targets.setRateLimit(record, { 1.0 }, START);
+        }
+    }
+
+    void addPermit(const TargetId &id)
+    {
+        targets.rateLimits().addPermits({ id, targets.find(id)->startedAt, 1 }, START);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requestIsSentWithAPermit)
+{
+    LimitedFixture fixture;
+    RelayMachine machine = fixture.machine(route(RouteKind::Unsafe));
+    const RelayActions first = machine.start(START);
+    BOOST_TEST(find<RequestPermitsFor>(first));
+    BOOST_TEST(!find<SendRequest>(first));
+    fixture.addPermit(TargetId("t1"));
+    const RelayActions then = machine.onPermits(START);
+    BOOST_REQUIRE(find<SendRequest>(then));
+    BOOST_TEST(find<SendRequest>(then)->target.id.value() == "t1");
+}
+
+BOOST_AUTO_TEST_CASE(requestWithoutPermitIsRefusedAtOnceAsNotRun)
+{
+    LimitedFixture fixture;
+    RelayMachine machine = fixture.machine(route(RouteKind::Unsafe));
+    machine.start(START);
+    const RelayActions last = machine.onPermits(START);
+    BOOST_REQUIRE(find<RefuseRequest>(last));
+    BOOST_TEST(find<RefuseRequest>(last)->status == 503U);
+    BOOST_TEST(!find<RequestPermitsFor>(last));
+}
+
+BOOST_AUTO_TEST_CASE(requestThatEndsWhileItWaitsForPermitsIsNotSent)
+{
+    LimitedFixture fixture;
+    RelayMachine gone = fixture.machine(route(RouteKind::Unsafe));
+    gone.start(START);
+    BOOST_TEST(find<DropRequest>(gone.onCallerGone(START)));
+    RelayMachine stopped = fixture.machine(route(RouteKind::Unsafe));
+    stopped.start(START);
+    BOOST_TEST(find<RefuseRequest>(stopped.onShutdown(START))->status == 503U);
+    fixture.addPermit(TargetId("t0"));
+    BOOST_TEST(gone.onPermits(START).empty());
+    BOOST_TEST(stopped.onPermits(START).empty());
+}
+
+// The second send of a request counts like the first.
+BOOST_AUTO_TEST_CASE(repeatedSendNeedsAPermit)
+{
+    LimitedFixture fixture;
+    RelayMachine machine = fixture.machine(route(RouteKind::Safe, 2));
+    machine.start(START);
+    fixture.addPermit(TargetId("t0"));
+    const AttemptNumber first = sentAttempt(machine.onPermits(START));
+    const RelayActions again = respond(machine, first, 500, "broken");
+    BOOST_TEST(find<RequestPermitsFor>(again));
+    BOOST_TEST(!find<SendRequest>(again));
+    BOOST_REQUIRE(find<ForwardResponse>(machine.onPermits(START)));
+}
+
 BOOST_AUTO_TEST_CASE(stagesRunFirstAndTheirResultsAreFreedAtTheFirstEvent)
 {
     Fixture fixture;
--- a/tests/auto/gateway/tst_stagescheduler.cpp
+++ b/tests/auto/gateway/tst_stagescheduler.cpp
@@ -55,6 +55,25 @@
 
 BOOST_AUTO_TEST_SUITE(stagescheduler)
 
+// Calls for pieces count toward the rate limit of their target like requests.
+BOOST_AUTO_TEST_CASE(callsStayWithinTheRateLimitOfTheirTarget)
+{
+    Fixture f(2);
+    f.targets.setRateLimit(*f.targets.find(TargetId("stage-0")), { 1.0 }, START);
+    std::map<TargetId, int> calls;
+    for (int tick = 0; tick < 4000; tick += 10) {
+        const MonotonicTime now = START + milliseconds(tick);
+        f.submit(OrderId(static_cast<std::uint64_t>(tick)), order("r" + std::to_string(tick), 2), now);
+        for (const StageCall &call : f.scheduler.dispatch(f.targets, now)) {
+            ++calls[call.target.id];
+            f.scheduler.onAnswered(call.id, allSucceeded(call), f.targets, now);
+        }
+    }
+    BOOST_TEST(calls[TargetId("stage-0")] <= 4);
+    BOOST_TEST(calls[TargetId("stage-0")] >= 2);
+    BOOST_TEST(calls[TargetId("stage-1")] > 100);
+}
+
 BOOST_AUTO_TEST_CASE(eachTargetRunsOneCallAtATime)
 {
     Fixture f;
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -248,6 +248,26 @@
     BOOST_TEST(!find(response.head.fields, "Content-Length"));
 }
 
+BOOST_AUTO_TEST_CASE(rateLimitOfATargetIsDecoded)
+{
+    const auto stated = [](unsigned status, const std::vector<HttpField> &fields) {
+        return ADAPTER.readTargetResponse(status, fields).rateLimit;
+    };
+    const HttpField stamp { "X-Cassiarelay-Response-Stamp", "s" };
+    const HttpField notRun { "X-Cassiarelay-Not-Executed", "1" };
+    BOOST_TEST(stated(200, { stamp, { "Server-Limit", "0.5" } }).value().perSecond.value() == 0.5);
+    BOOST_TEST(stated(503, { notRun, { "server-limit", " 12 " } }).value().perSecond.value() == 12);
+    BOOST_TEST(stated(200, { stamp, { "Server-Limit", "0" } }).value().perSecond.value() == 0);
+    BOOST_REQUIRE(stated(200, { stamp }));
+    BOOST_TEST(!stated(200, { stamp })->perSecond);
+    // Neither a limit that can't be read nor a response that may come from elsewhere ends a limit.
+    for (const std::string value : { "", "-1", "many", "1x", "inf", "nan" }) {
+        BOOST_TEST(!stated(200, { stamp, { "Server-Limit", value } }).has_value());
+    }
+    BOOST_TEST(!stated(421, { notRun, { "Server-Limit", "1" } }).has_value());
+    BOOST_TEST(!stated(200, {}).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(stageCallsCarryEachPieceOnce)
 {
     StageCall call;
