Reproduce streams that go on at another software version, and log versions

The logs could not tell the hypotheses of docs/incidents/stream-versions.md apart: 'target listed' and 'placed' now name the version of the target, 'stream resumed' the request that began the stream. Nothing is decided by them yet.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -201,6 +201,7 @@
                       { "service", change.record.service.value() },
                       { "address", change.record.endpoint.text() },
                       { "domain", change.record.failureDomain.value() },
+                      { "version", change.record.softwareVersion },
                       { "leaving", change.record.isLeaving ? "yes" : "no" },
                       { "cold_ms", std::to_string(change.record.coldFor.count()) },
                       { "revision", std::to_string(m_catalogue.revision()) } },
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -73,6 +73,11 @@
             self->m_call->resume();
         }
     });
+    const Gateway::RelayRequest &request = m_machine.request();
+    if (request.resumeAfter) {
+        addTraceLine("stream resumed",
+                     "stream=" + (request.resumedStream ? request.resumedStream->value() : "unknown") + " after=" + *request.resumeAfter);
+    }
     perform(m_machine.start(std::chrono::steady_clock::now()));
 }
 
--- a/src/app/gateway/requestdispatcher.cpp
+++ b/src/app/gateway/requestdispatcher.cpp
@@ -81,6 +81,7 @@
     request.pieceCounts = head.pieceCounts;
     request.inputKey = head.inputKey;
     request.resumeAfter = head.resumeAfter;
+    request.resumedStream = head.resumedStream;
     request.fingerprint = fingerprintOf(target, organisation, message.body());
     std::make_shared<RelaySession>(m_services, exchange, std::move(fields), std::move(request))->start();
 }
--- a/src/libs/gateway/platformport.h
+++ b/src/libs/gateway/platformport.h
@@ -22,6 +22,7 @@
     std::vector<int> pieceCounts; ///< by stage
     std::string inputKey;
     std::optional<std::string> resumeAfter; ///< id of the last event that the caller received
+    std::optional<RequestId> resumedStream; ///< request that brought the first event of the stream
 };
 
 /** Header values that the daemon itself sets on a request to a target. */
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -415,9 +415,9 @@
                    [&](const ChosenTarget &chosen) {
                        logDecision(actions,
                                    "placed",
-                                   "target=" + chosen.record.id.value() + " domain=" + chosen.record.failureDomain.value()
-                                       + " candidates=" + std::to_string(chosen.candidates) + " cost=" + std::to_string(chosen.cost)
-                                       + " cold=" + (chosen.isCold ? "yes" : "no"));
+                                   "target=" + chosen.record.id.value() + " version=" + chosen.record.softwareVersion + " domain="
+                                       + chosen.record.failureDomain.value() + " candidates=" + std::to_string(chosen.candidates)
+                                       + " cost=" + std::to_string(chosen.cost) + " cold=" + (chosen.isCold ? "yes" : "no"));
                        sendTo(chosen.record, actions, now);
                    },
                    [&](const PermitsNeeded &needed) {
--- a/src/libs/gateway/relayrequest.h
+++ b/src/libs/gateway/relayrequest.h
@@ -34,6 +34,7 @@
     std::vector<int> pieceCounts;
     std::string inputKey;                   ///< identifies the input of the stages that depend on no other stage
     std::optional<std::string> resumeAfter; ///< id of the last event that the caller received
+    std::optional<RequestId> resumedStream; ///< request that brought the first event of the stream
     Fingerprint fingerprint;
 
     int rank() const
--- a/src/libs/gateway/targetrecord.h
+++ b/src/libs/gateway/targetrecord.h
@@ -13,7 +13,8 @@
     ServiceName service;
     Endpoint endpoint;
     FailureDomain failureDomain;
-    StartTime startedAt; ///< changes when a target restarts under the same id
+    StartTime startedAt;         ///< changes when a target restarts under the same id
+    std::string softwareVersion; ///< of the target's program, not of its model
     int slots = 1;
     bool isLeaving = false;
     std::chrono::milliseconds coldFor { 0 }; ///< remaining cold time when the record was published
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -39,7 +39,8 @@
 }
 
 const json TARGET_ENTRY { { "service", "svc" }, { "address", "10.0.0.9:8080" }, { "zone", "east" }, { "slots", 8 },
-                          { "state", "ready" }, { "coldRemainingMs", 250.5 },   { "born", 17 },     { "seq", 4 } };
+                          { "state", "ready" }, { "coldRemainingMs", 250.5 },   { "born", 17 },     { "seq", 4 },
+                          { "version", "v1.2" } };
 
 json targetEntryWith(const std::string &name, const json &value)
 {
@@ -69,6 +70,7 @@
     BOOST_TEST(record.endpoint.text() == "10.0.0.9:8080");
     BOOST_TEST(record.failureDomain.value() == "east");
     BOOST_TEST(record.startedAt.time_since_epoch().count() == 17);
+    BOOST_TEST(record.softwareVersion == TARGET_ENTRY.at("version").get<std::string>());
     BOOST_TEST(record.coldFor.count() == 250);
     BOOST_TEST(!record.isLeaving);
     BOOST_TEST(listed.revision == 9);
@@ -83,6 +85,7 @@
                                              targetEntryWith("state", 3).dump(),
                                              targetEntryWith("address", "nowhere").dump(),
                                              targetEntryWith("born", "yesterday").dump(),
+                                             targetEntryWith("version", 2).dump(),
                                              targetEntryWith("slots", json::array()).dump(),
                                              std::string("\xff\xfe\x00\x01", 4) };
     json items = json::array({ item("servers/good", TARGET_ENTRY.dump()) });
@@ -187,10 +190,14 @@
                                                             { "X-Cassiarelay-Token-Counts", "1460,80" },
                                                             { "X-Cassiarelay-Prompt-Prefix", "5c:800,91:410" },
                                                             { "X-Cassiarelay-Pieces", "2,0,1" },
+                                                            { "Last-Event-Id", "12" },
+                                                            { "Resumes", "id-0" },
                                                             { "X-Cassiarelay-Piece-Key", "key" } });
     BOOST_TEST(head.id.value() == "id-1");
     BOOST_TEST(head.requestTimeout->count() == 1500);
     BOOST_TEST(*head.key == "secret");
+    BOOST_TEST(head.resumeAfter.value() == "12");
+    BOOST_TEST(head.resumedStream.value().value() == "id-0");
     BOOST_TEST(head.prompt.promptTokens == 1460);
     BOOST_TEST(head.prompt.parts.size() == 2U);
     BOOST_TEST((head.pieceCounts == std::vector<int> { 2, 0, 1 }));
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -6,6 +6,7 @@
 import random
 import re
 import threading
+import time
 import zlib
 
 from callers import SteadyLoad
@@ -122,7 +123,8 @@
 
     def publish_target(self, target, state="ready"):
         self.put_item("servers/" + target["target"], {
-            "service": target["pool"], "address": f"127.0.0.1:{target['port']}", "zone": target["failureDomain"], "version": "1",
+            "service": target["pool"], "address": f"127.0.0.1:{target['port']}", "zone": target["failureDomain"],
+            "version": target.setdefault("version", "1"),
             "slots": 64, "state": state, "coldRemainingMs": 0, "seq": 1, "born": 1})
 
     def remove_target(self, name):
@@ -174,13 +176,14 @@
     return f"{zlib.crc32(request_id.encode()):08x}"
 
 
-def send_routed(connection, route, request_id, prompt, key=KEY, patience_ms=PATIENCE_MS):
+def send_routed(connection, route, request_id, prompt, key=KEY, patience_ms=PATIENCE_MS, more_headers=()):
     headers = {"Host": HOST, "X-Cassiarelay-Request-Id": request_id, "X-Cassiarelay-Deadline-Ms": str(patience_ms),
                "Authorization": f"Bearer {key}"}
     if route in PIECES_WANTED:
         headers.update({"X-Cassiarelay-Pieces": PIECES_WANTED[route], "X-Cassiarelay-Piece-Key": "7c1e07a291bd",
                         "X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": "100,16",
                         "X-Cassiarelay-Prompt-Prefix": f"{shared_part(request_id)}:80,91bd3f06:20"})
+    headers.update(more_headers)
     connection.request("POST", f"/{route}/x", json.dumps({"prompt": prompt}), headers)
 
 
@@ -248,3 +251,106 @@
         response = connection.getresponse()
         text = response.read().decode()
         return judge(response, text, request_id, request_id), f"{request_id} {response.status} {text}"
+
+
+class ResumedStream:
+    """One stream of a caller that takes it up again at another daemon after it was broken off."""
+
+    def __init__(self, request_id):
+        self.request_id = request_id
+        self.events = []  # (id, instance that made the event)
+        self.began_as = None  # id of the attempt that brought the first event
+        self.resumptions = 0
+        self.continued = 0  # resumptions that brought an event
+        self.complete = False
+
+    def attempt(self, vm, number, patience_ms):
+        attempt_id = f"{self.request_id}-{number}"
+        headers = {}
+        if self.events:
+            self.resumptions += 1
+            headers = {"Last-Event-Id": str(self.events[-1][0]), "Resumes": self.began_as}
+        before = len(self.events)
+        connection = vm.connection()
+        try:
+            send_routed(connection, "draft", attempt_id, self.request_id, patience_ms=patience_ms, more_headers=headers)
+            response = connection.getresponse()
+            text = ""
+            while response.status == 200:
+                part = response.read1()
+                if not part:
+                    break
+                text += part.decode()
+                whole, _, text = text.rpartition("\n\n")
+                self.take(whole)
+            self.complete = bool(self.events) and self.events[-1][0] == EVENTS
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            connection.close()
+        if len(self.events) > before:
+            self.began_as = self.began_as or attempt_id
+            self.continued += 1 if headers else 0
+
+    def take(self, text):
+        for event in text.split("\n\n"):
+            fields = dict(line.split(": ", 1) for line in event.splitlines() if ": " in line)
+            if "id" in fields:
+                self.events.append((int(fields["id"]), fields["event"]))
+
+
+class ResumedLoad:
+    """Streams at a fixed rate to the ready gateways, by callers that resume what was broken off."""
+
+    attempts = 8
+    pause_s = 0.1
+
+    def __init__(self, fleet, rate):
+        self._fleet = fleet
+        self._interval = 1 / rate
+        self._stop = threading.Event()
+        self._streams = []
+        self._threads = []
+        self._sender = threading.Thread(target=self._send, daemon=True)
+        self._sender.start()
+
+    def stop(self):
+        self._stop.set()
+        self._sender.join()
+        for thread in self._threads:
+            thread.join()
+
+    def _send(self):
+        for number in itertools.count():
+            if self._stop.is_set():
+                return
+            stream = ResumedStream(f"resumed-{number}")
+            self._streams.append(stream)
+            self._threads.append(threading.Thread(target=self._run, args=(stream, number), daemon=True))
+            self._threads[-1].start()
+            time.sleep(self._interval)
+
+    def _run(self, stream, number):
+        deadline = time.monotonic() + PATIENCE_MS / 1000
+        for attempt in range(self.attempts):
+            vms = [vm for vm in self._fleet.vms.values() if vm.process.poll() is None]
+            left_ms = int((deadline - time.monotonic()) * 1000)
+            if left_ms <= 0:
+                return
+            if vms:
+                stream.attempt(vms[(number + attempt) % len(vms)], attempt, left_ms)
+            if stream.complete:
+                return
+            time.sleep(self.pause_s)
+
+    @property
+    def counts(self):
+        versions = {target["target"]: target.get("version", "1") for target in self._fleet.targets}
+        mixed = [stream for stream in self._streams if len({versions[instance] for _, instance in stream.events}) > 1]
+        disordered = [stream for stream in self._streams
+                      if [number for number, _ in stream.events] != list(range(1, len(stream.events) + 1))]
+        return {"streams": len(self._streams), "complete": sum(stream.complete for stream in self._streams), "mixed": len(mixed),
+                "disordered": len(disordered), "resumed": sum(stream.resumptions for stream in self._streams),
+                "continued": sum(stream.continued for stream in self._streams),
+                "takenUp": sum(stream.resumptions > 0 for stream in self._streams),
+                "finished": sum(stream.resumptions > 0 and stream.complete for stream in self._streams)}
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -4,14 +4,14 @@
 import signal
 
 from fleet import http_json, wait_until
-from gateways import KEY, UNSAFE_ROUTES, RoutedCall, RoutedLoad
+from gateways import KEY, UNSAFE_ROUTES, ResumedLoad, RoutedCall, RoutedLoad
 from scenario import COMPARE, Scenario
 
 
 class GatewayScenario(Scenario):
     """One run of a script with gateways before the users' kind of targets."""
 
-    # start platform | start service NAME COUNT OPTIONS... | start gateways COUNT | start load ROUTE RATE
+    # start platform | start service NAME COUNT OPTIONS... | start gateways COUNT | start load ROUTE RATE | start resumed-load RATE
     def verb_start(self, what, *words):
         if what == "platform":
             self.fleet.start_platform()
@@ -22,6 +22,8 @@
             self.fleet.start_gateways(int(words[0]))
         elif what == "load":
             self.load = RoutedLoad(self.fleet, words[0], float(words[1]))
+        elif what == "resumed-load":
+            self.load = ResumedLoad(self.fleet, float(words[0]))
         else:
             raise AssertionError(f"cannot start {what}")
 
@@ -64,6 +66,16 @@
         status, answer = http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"rateLimit": limit}))
         assert status == 200, answer
 
+    # version TARGET VERSION: the target publishes this version of its software
+    def verb_version(self, name, version):
+        target = self.target(name)
+        target["version"] = version
+        self.fleet.publish_target(target)
+
+    # crash TARGET: it is back after a second
+    def verb_crash(self, name):
+        http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"die": True}))
+
     # shut-down VM: the process has to end by itself
     def verb_shut_down(self, name):
         vm = self.fleet.vms[name]
@@ -104,6 +116,18 @@
                 wrong.append(f"{request} was refused and ran")
         return not wrong, wrong
 
+    # resumed-load FIGURE OPERATOR COUNT: ends the load first
+    def condition_resumed_load(self, figure, operator, count):
+        self.load.stop()
+        seen = self.load.counts
+        return COMPARE[operator](seen[figure], int(count)), seen
+
+    # most-streams-continue: at least half of the streams that were taken up again came to their end
+    def condition_most_streams_continue(self):
+        self.load.stop()
+        seen = self.load.counts
+        return seen["finished"] * 2 >= seen["takenUp"] >= 12, seen
+
     # status REQUEST OPERATOR STATUS: of its last sending
     def condition_status(self, request, operator, status):
         call = self.calls[request][-1]
--- a/tests/standins/eventwork.cpp
+++ b/tests/standins/eventwork.cpp
@@ -37,7 +37,8 @@
     after(m_settings.options.tokenTime * (batchFactor * m_settings.faults.slowFactor), [this] {
         ++m_lastEvent;
         ++m_generated;
-        exchange()->writeStream("id: " + std::to_string(m_lastEvent) + "\ndata: " + tokenAt(m_prompt, m_lastEvent) + "\n\n");
+        exchange()->writeStream("id: " + std::to_string(m_lastEvent) + "\nevent: " + m_settings.options.instance
+                                + "\ndata: " + tokenAt(m_prompt, m_lastEvent) + "\n\n");
         next();
     });
 }
