Let streams go on only at the software version that began them

Cause: the version was not read. A lost target was replaced by any target of the service, and a daemon at which a caller resumed a stream knew nothing of it.

Change: the first target that a resumable stream is sent to binds it to service and version, for retries, resumptions within the answer and the target that is tried again after a restart. A caller that names no stream goes on only while all targets of the service run one version.

Why it works: every send passes TargetRegistry::choose with the version, or RelayMachine::isAllowedAgain; a stream never changes its version, so that any copy of the record decides.

Ruled out: a guess from the versions that are listed, which is wrong right after a release has begun.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -95,7 +95,9 @@
     , m_members(settings.vm, settings.peers.value_or(settings.callers), settings.capacity)
     , m_permitBroker(m_context, m_peerClient, m_targets, m_members, m_metrics, m_log)
     , m_pieceBroker(m_context, m_targetClient, m_peerClient, port, m_targets, m_members, m_permitBroker, m_metrics, m_log)
-    , m_services { m_context, m_targetClient, port, m_catalogue, m_relayContext, m_pieceBroker, m_permitBroker, m_metrics, m_log }
+    , m_streamBroker(m_context, m_peerClient, m_members, m_metrics, m_log)
+    , m_services { m_context,     m_targetClient, port,           m_catalogue, m_relayContext,
+                   m_pieceBroker, m_permitBroker, m_streamBroker, m_metrics,   m_log }
     , m_requestDispatcher(m_services)
     , m_watcher(m_context,
                 m_storeClient,
@@ -268,6 +270,10 @@
         m_peerGossip->handleGreeting(exchange);
     } else if (target == PermitBroker::PATH) {
         m_permitBroker.handleRequest(exchange);
+    } else if (target == StreamBroker::RECORDS_PATH) {
+        m_streamBroker.handleRecord(exchange);
+    } else if (target == StreamBroker::QUERIES_PATH) {
+        m_streamBroker.handleQuery(exchange);
     } else if (target == PieceBroker::ORDERS_PATH) {
         m_pieceBroker.handleOrder(exchange);
     } else if (target == PieceBroker::FREED_RESULTS_PATH) {
@@ -406,6 +412,7 @@
     const MonotonicTime now = std::chrono::steady_clock::now();
     onCatalogueChanges(m_catalogue.expire(now));
     m_targets.rateLimits().removeExpired(now);
+    m_streamBroker.removeExpired();
     m_targetClient.closeExpired();
     m_peerClient.closeExpired();
     m_pieceBroker.sendDeferredFrees();
--- a/src/app/gateway/gatewaydaemon.h
+++ b/src/app/gateway/gatewaydaemon.h
@@ -68,6 +68,7 @@
     Gateway::Members m_members;
     PermitBroker m_permitBroker;
     PieceBroker m_pieceBroker;
+    StreamBroker m_streamBroker;
     GatewayServices m_services;
     RequestDispatcher m_requestDispatcher;
     StoreWatcher m_watcher;
--- a/src/app/gateway/gatewayservices.h
+++ b/src/app/gateway/gatewayservices.h
@@ -3,6 +3,7 @@
 #include "eventlog.h"
 #include "permitbroker.h"
 #include "piecebroker.h"
+#include "streambroker.h"
 
 #include <gateway/gateway.h>
 #include <metrics/metrics.h>
@@ -29,6 +30,7 @@
     Gateway::RelayContext &relayContext;
     PieceBroker &pieceBroker;
     PermitBroker &permitBroker;
+    StreamBroker &streamBroker;
     Metrics::Registry &metrics;
     EventLog &log;
     std::set<RelaySession *> sessions = {}; ///< requests without a final response
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -73,12 +73,42 @@
             self->m_call->resume();
         }
     });
+    if (m_machine.request().isResumption()) {
+        startResumed();
+    } else {
+        perform(m_machine.start(std::chrono::steady_clock::now()));
+    }
+}
+
+void RelaySession::startResumed()
+{
     const Gateway::RelayRequest &request = m_machine.request();
-    if (request.resumeAfter) {
-        addTraceLine("stream resumed",
-                     "stream=" + (request.resumedStream ? request.resumedStream->value() : "unknown") + " after=" + *request.resumeAfter);
+    addTraceLine("stream resumed",
+                 "stream=" + (request.resumedStream ? request.resumedStream->value() : "unknown") + " after=" + *request.resumeAfter);
+    if (!request.resumedStream) {
+        onOrigin(m_services.relayContext.targets.onlyVersion(request.service));
+        return;
     }
-    perform(m_machine.start(std::chrono::steady_clock::now()));
+    m_services.streamBroker.find(*request.resumedStream, [self = shared_from_this()](const std::optional<Gateway::StreamOrigin> &origin) {
+        self->onOrigin(origin);
+    });
+}
+
+// The caller may have left in the meantime.
+void RelaySession::onOrigin(const std::optional<Gateway::StreamOrigin> &origin)
+{
+    if (m_machine.isFinished()) {
+        return;
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const bool isKnown = origin && m_machine.request().route->sendsTo(origin->service);
+    addTraceLine("origin", isKnown ? "service=" + origin->service.value() + " version=" + origin->softwareVersion : "unknown");
+    if (!isKnown) {
+        perform(m_machine.onUnknownOrigin(now));
+        return;
+    }
+    m_machine.setOrigin(*origin);
+    perform(m_machine.start(now));
 }
 
 void RelaySession::shutDown()
@@ -149,6 +179,11 @@
     });
 }
 
+void RelaySession::perform(const Gateway::RecordStream &action)
+{
+    m_services.streamBroker.record(action.stream, action.origin);
+}
+
 void RelaySession::perform(const Gateway::SendRequest &action)
 {
     const Gateway::AttemptNumber attempt = action.attempt;
--- a/src/app/gateway/relaysession.h
+++ b/src/app/gateway/relaysession.h
@@ -32,6 +32,7 @@
     void perform(const Gateway::WithdrawPieces &action);
     void perform(const Gateway::FreeResults &action);
     void perform(const Gateway::RequestPermitsFor &action);
+    void perform(const Gateway::RecordStream &action);
     void perform(const Gateway::SendRequest &action);
     void perform(const Gateway::CancelAttempt &action);
     void perform(const Gateway::ForwardResponse &action);
@@ -44,6 +45,8 @@
     void perform(const Gateway::ArmTimer &action);
     void perform(const Gateway::LogDecision &action);
     Net::HttpCallRequest targetRequest(const Gateway::SendRequest &action) const;
+    void startResumed();
+    void onOrigin(const std::optional<Gateway::StreamOrigin> &origin);
     void onStageFinished(std::size_t stage, const std::vector<Gateway::PieceCompletion> &completions);
     void onResponseHead(Gateway::AttemptNumber attempt, const Gateway::TargetRecord &target, const Net::HttpCallHead &head);
     void finish(std::string_view outcome, unsigned status, const std::string &reason);
--- a/src/libs/gateway/configuration.h
+++ b/src/libs/gateway/configuration.h
@@ -2,6 +2,7 @@
 
 #include <common/common.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -51,6 +52,12 @@
     bool isPublic = false;
     bool isResumable = false;
 
+    bool sendsTo(const ServiceName &service) const
+    {
+        return std::any_of(services.begin(), services.end(), [&service](const WeightedService &weighted) {
+            return weighted.service == service && weighted.weight > 0;
+        });
+    }
     /** Whether a request may run a second time. */
     bool isRepeatable() const
     {
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "stageplan.h"
 #include "stagescheduler.h"
 #include "storeentry.h"
+#include "streamdirectory.h"
 #include "targetratelimits.h"
 #include "targetrecord.h"
 #include "targetregistry.h"
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -1,6 +1,7 @@
 #include "members.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace CassiaRelay::Gateway {
 
@@ -237,6 +238,26 @@
     return static_cast<double>(count()) / std::max(known, count());
 }
 
+std::vector<Member> Members::ranked(const std::string &key, std::size_t maxCount) const
+{
+    const std::uint64_t seed = stableHash(key);
+    std::vector<std::pair<std::uint64_t, const Member *>> ranks;
+    ranks.reserve(m_members.size());
+    for (const auto &[vm, state] : m_members) {
+        if (!state.member.isLeaving) {
+            ranks.emplace_back(stableHash(vm.value(), seed), &state.member);
+        }
+    }
+    const std::size_t count = std::min(maxCount, ranks.size());
+    std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(count), ranks.end(), std::greater<>());
+    std::vector<Member> first;
+    first.reserve(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        first.push_back(*ranks[index].second);
+    }
+    return first;
+}
+
 void Members::setLeaving()
 {
     m_isLeaving = true;
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -2,6 +2,7 @@
 
 #include "piece.h"
 #include "relayrequest.h"
+#include "streamdirectory.h"
 
 #include <variant>
 
@@ -31,6 +32,12 @@
     std::vector<StageResult> results;
 };
 
+/** Remembers where a stream began, here and at other daemons. */
+struct RecordStream {
+    RequestId stream;
+    StreamOrigin origin;
+};
+
 /** Sends the request to a target. */
 struct SendRequest {
     AttemptNumber attempt = 0;
@@ -104,6 +111,7 @@
                                  WithdrawPieces,
                                  FreeResults,
                                  RequestPermitsFor,
+                                 RecordStream,
                                  SendRequest,
                                  CancelAttempt,
                                  ForwardResponse,
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -83,6 +83,21 @@
     return actions;
 }
 
+void RelayMachine::setOrigin(const StreamOrigin &origin)
+{
+    m_request.service = origin.service;
+    m_softwareVersion = origin.softwareVersion;
+}
+
+RelayActions RelayMachine::onUnknownOrigin(MonotonicTime)
+{
+    RelayActions actions;
+    if (!m_finished) {
+        giveUp(GiveUpCause::UnknownOrigin, {}, RETRY_ELSEWHERE, actions);
+    }
+    return actions;
+}
+
 RelayActions RelayMachine::onStageFinished(std::size_t stage, const std::vector<PieceCompletion> &completions, MonotonicTime now)
 {
     RelayActions actions;
@@ -309,6 +324,12 @@
     return !m_finished && m_attempt && m_attempt->number == attempt;
 }
 
+// The target may have restarted with another version of its software.
+bool RelayMachine::isAllowedAgain(const TargetRecord &target) const
+{
+    return !m_softwareVersion || *m_softwareVersion == target.softwareVersion;
+}
+
 bool RelayMachine::forwardsEvents() const
 {
     return m_request.route->kind == RouteKind::Stream && m_attempt->head->status == STATUS_OK;
@@ -404,7 +425,7 @@
     }
     if (m_triedTargets.size() >= static_cast<std::size_t>(m_request.route->maxAttempts) && !m_triedTargets.empty()) {
         const std::optional<TargetRecord> same = m_context.targets.find(*m_triedTargets.begin());
-        if (!same || !m_context.targets.startAttempt(same->id, m_request.prompt.promptTokens, now)) {
+        if (!same || !isAllowedAgain(*same) || !m_context.targets.startAttempt(same->id, m_request.prompt.promptTokens, now)) {
             giveUp(GiveUpCause::NoTarget, "the target that may get the request is gone", RETRY_SOON, actions);
             return;
         }
@@ -440,6 +461,12 @@
     m_permitTarget.reset();
     m_triedTargets.insert(target.id);
     m_avoidedTargets.insert(target.id);
+    if (m_request.route->kind == RouteKind::Stream && m_request.route->isResumable) {
+        m_softwareVersion = target.softwareVersion;
+        // Recorded before the first event, so that the caller can resume the stream as soon as it has one.
+        actions.emplace_back(
+            RecordStream { m_request.resumedStream.value_or(m_request.id), { m_request.service, target.softwareVersion } });
+    }
     SendRequest send;
     send.attempt = m_attemptCount;
     send.target = target;
@@ -467,6 +494,7 @@
         requirements.inputDomain = inputDomain();
     }
     requirements.allowedRegions = m_request.route->allowedRegions;
+    requirements.softwareVersion = m_softwareVersion;
     requirements.mayRequestPermits = !m_permitTarget;
     requirements.preferredTarget = m_permitTarget;
     const std::vector<PromptPart> &parts = m_request.prompt.parts;
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -41,7 +41,12 @@
 public:
     RelayMachine(RelayRequest request, RelayContext &context);
 
+    /** Starts the request, or the part of a stream that follows the caller's last event. */
     RelayActions start(MonotonicTime now);
+    /** Binds a stream that the caller resumes to its origin; call before start(). */
+    void setOrigin(const StreamOrigin &origin);
+    /** Refuses a stream that the caller resumes because nobody knows its origin. */
+    RelayActions onUnknownOrigin(MonotonicTime now);
     RelayActions onStageFinished(std::size_t stage, const std::vector<PieceCompletion> &completions, MonotonicTime now);
     /** The issuer has answered or can't be asked; permits that it issued are known to the target registry. */
     RelayActions onPermits(MonotonicTime now);
@@ -74,6 +79,7 @@
     };
 
     bool isCurrent(AttemptNumber attempt) const;
+    bool isAllowedAgain(const TargetRecord &target) const;
     bool forwardsEvents() const;
     void orderReadyStages(RelayActions &actions, MonotonicTime now);
     void restartStages(RelayActions &actions, MonotonicTime now);
@@ -114,8 +120,9 @@
     RunState m_runState = RunState::NotRun;
     std::optional<Fallback> m_fallback;
     EventFramer m_framer;
-    std::optional<TargetId> m_permitTarget; ///< target for which permits were requested, until a target is chosen
-    bool m_inputsFreed = false;             ///< the stage results were freed at the first event
+    std::optional<std::string> m_softwareVersion; ///< version of all targets of a resumable stream, once the first one is chosen
+    std::optional<TargetId> m_permitTarget;       ///< target for which permits were requested, until a target is chosen
+    bool m_inputsFreed = false;                   ///< the stage results were freed at the first event
     bool m_streamStarted = false;
     bool m_finished = false;
 };
--- a/src/libs/gateway/relayrequest.h
+++ b/src/libs/gateway/relayrequest.h
@@ -37,6 +37,11 @@
     std::optional<RequestId> resumedStream; ///< request that brought the first event of the stream
     Fingerprint fingerprint;
 
+    /** Whether the caller resumes a stream of which it has events. */
+    bool isResumption() const
+    {
+        return route->kind == RouteKind::Stream && route->isResumable && resumeAfter && !resumeAfter->empty() && *resumeAfter != "0";
+    }
     int rank() const
     {
         return organisation && organisation->rank ? *organisation->rank : route->rank;
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -86,7 +86,8 @@
 {
     const std::vector<Target *> allowed = candidates(requirements, now);
     if (allowed.empty()) {
-        return NoTarget { "no target of the service may get work", NO_TARGET_RETRY };
+        const std::string version = requirements.softwareVersion ? " and runs version " + *requirements.softwareVersion : std::string();
+        return NoTarget { "no target of the service may get work" + version, NO_TARGET_RETRY };
     }
     std::vector<Target *> warm;
     std::vector<Target *> ready;
@@ -211,6 +212,19 @@
     return records;
 }
 
+std::optional<StreamOrigin> TargetRegistry::onlyVersion(const ServiceName &service) const
+{
+    const auto ids = m_byService.find(service);
+    if (ids == m_byService.end() || ids->second.empty()) {
+        return std::nullopt;
+    }
+    const std::string &version = m_targets.at(*ids->second.begin()).record.softwareVersion;
+    const bool isOnly = std::all_of(ids->second.begin(), ids->second.end(), [this, &version](const TargetId &id) {
+        return m_targets.at(id).record.softwareVersion == version;
+    });
+    return isOnly ? std::optional(StreamOrigin { service, version }) : std::nullopt;
+}
+
 std::optional<TargetRecord> TargetRegistry::find(const TargetId &id) const
 {
     const auto found = m_targets.find(id);
@@ -310,7 +324,8 @@
     }
     for (const TargetId &id : ids->second) {
         Target &target = m_targets.at(id);
-        if (!isAllowed(target, requirements.allowedRegions) || requirements.avoid.count(id) > 0) {
+        if (!isAllowed(target, requirements.allowedRegions) || requirements.avoid.count(id) > 0
+            || target.record.softwareVersion != requirements.softwareVersion.value_or(target.record.softwareVersion)) {
             continue;
         }
         (target.health.isSuspect(now) ? suspect : healthy).push_back(&target);
--- a/src/libs/gateway/targetregistry.h
+++ b/src/libs/gateway/targetregistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "slidingwindowcounter.h"
+#include "streamdirectory.h"
 #include "targethealth.h"
 #include "targetratelimits.h"
 #include "targetrecord.h"
@@ -17,13 +18,14 @@
 /** What a request requires of its target. */
 struct TargetRequirements {
     ServiceName service;
-    std::set<TargetId> avoid;                 ///< targets that the request has already been sent to
-    std::optional<std::uint64_t> cacheKey;    ///< hash of the shared prompt parts; requests with equal keys prefer the same target
-    std::int64_t tokens = 0;                  ///< prompt tokens that the target has to process
-    std::optional<FailureDomain> inputDomain; ///< domain that stores the large inputs of the request
-    std::vector<Region> allowedRegions;       ///< all regions if empty
-    bool mayRequestPermits = false;           ///< PermitsNeeded is a possible choice
-    std::optional<TargetId> preferredTarget;  ///< PermitsNeeded::best, once permits were requested
+    std::set<TargetId> avoid;                   ///< targets that the request has already been sent to
+    std::optional<std::uint64_t> cacheKey;      ///< hash of the shared prompt parts; requests with equal keys prefer the same target
+    std::int64_t tokens = 0;                    ///< prompt tokens that the target has to process
+    std::optional<FailureDomain> inputDomain;   ///< domain that stores the large inputs of the request
+    std::vector<Region> allowedRegions;         ///< all regions if empty
+    std::optional<std::string> softwareVersion; ///< of the target; any if absent
+    bool mayRequestPermits = false;             ///< PermitsNeeded is a possible choice
+    std::optional<TargetId> preferredTarget;    ///< PermitsNeeded::best, once permits were requested
 };
 
 struct ChosenTarget {
@@ -89,6 +91,8 @@
 
     /** Returns the targets of the service that may be given work now. */
     std::vector<TargetRecord> usableTargets(const ServiceName &service, MonotonicTime now) const;
+    /** Returns the service with its software version if all its targets run the same one. */
+    std::optional<StreamOrigin> onlyVersion(const ServiceName &service) const;
     std::optional<TargetRecord> find(const TargetId &id) const;
     /** Returns the recent mean response time of the target, or 0 if it is unknown. */
     Duration latency(const TargetId &id) const;
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -205,6 +205,147 @@
     BOOST_TEST(find<EndStream>(machine.onFinished(second, START)));
 }
 
+namespace {
+
+// Two targets of version 1 and two of version 2.
+struct VersionFixture : Fixture {
+    VersionFixture()
+        : Fixture(0)
+    {
+        for (const std::string number : { "0", "1", "2", "3" }) {
+            put(number, number < "2" ? "v1" : "v2");
+        }
+    }
+
+    void put(const std::string &number, const std::string &version, milliseconds startedAfter = milliseconds(0))
+    {
+        TargetRecord record = target("t" + number, "engine");
+        record.softwareVersion = version;
+        record.startedAt += startedAfter;
+        targets.put(record, START);
+    }
+
+    RelayMachine stream(int maxAttempts, bool resumed = false)
+    {
+        Route resumable = route(RouteKind::Stream, maxAttempts);
+        resumable.isResumable = true;
+        if (!resumed) {
+            return machine(resumable);
+        }
+        RelayRequest request = machine(resumable).request();
+        request.resumeAfter = "3";
+        request.resumedStream = RequestId("first-request");
+        return { request, context };
+    }
+};
+
+std::string sentVersion(const RelayActions &actions)
+{
+    const auto *send = find<SendRequest>(actions);
+    return send ? send->target.softwareVersion : "none";
+}
+
+} // namespace
+
+// A stream went on at whichever target was best, also of another software version.
+BOOST_AUTO_TEST_CASE(streamGoesOnOnlyAtTheVersionThatBeganIt)
+{
+    for (const bool hasEvents : { true, false }) {
+        for (int repetition = 0; repetition < 20; ++repetition) {
+            VersionFixture fixture;
+            RelayMachine machine = fixture.stream(4);
+            const RelayActions first = machine.start(START);
+            const std::string version = sentVersion(first);
+            machine.onHead(sentAttempt(first), head(200), START);
+            if (hasEvents) {
+                machine.onBody(sentAttempt(first), "id: 1\ndata: a\n\n", START);
+            }
+            const RelayActions second = machine.onFailed(sentAttempt(first), AttemptFailure::ConnectionLost, "reset", START);
+            BOOST_TEST(sentVersion(second) == version);
+            const RelayActions third = machine.onFailed(sentAttempt(second), AttemptFailure::ConnectionLost, "reset", START);
+            BOOST_TEST(sentVersion(third) == "none");
+            BOOST_TEST(!(hasEvents && !find<AbortStream>(third)));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(streamTriesNoOtherVersionAfterRefusals)
+{
+    VersionFixture fixture;
+    RelayMachine machine = fixture.stream(4);
+    const RelayActions first = machine.start(START);
+    machine.onHead(sentAttempt(first), head(421, false, true), START);
+    const RelayActions second = machine.onFinished(sentAttempt(first), START);
+    BOOST_TEST(sentVersion(second) == sentVersion(first));
+    const RelayActions third = machine.onFailed(sentAttempt(second), AttemptFailure::NotSent, "refused", START);
+    BOOST_REQUIRE(find<RefuseRequest>(third));
+    BOOST_TEST(find<RefuseRequest>(third)->status == 503U);
+}
+
+BOOST_AUTO_TEST_CASE(callersResumeAtTheVersionThatBeganTheStream)
+{
+    for (const std::string version : { "v1", "v2" }) {
+        for (int repetition = 0; repetition < 20; ++repetition) {
+            VersionFixture fixture;
+            RelayMachine machine = fixture.stream(2, true);
+            machine.setOrigin({ ServiceName("engine"), version });
+            const RelayActions first = machine.start(START);
+            BOOST_TEST(sentVersion(first) == version);
+            BOOST_TEST(find<SendRequest>(first)->resumeAfter.value_or("") == "3");
+            BOOST_REQUIRE(find<RecordStream>(first));
+            BOOST_TEST(find<RecordStream>(first)->stream.value() == "first-request");
+            BOOST_TEST(sentVersion(machine.onFailed(sentAttempt(first), AttemptFailure::ConnectionLost, "reset", START)) == version);
+        }
+    }
+}
+
+// A target that has lost the inputs of a request gets it again if the route allows no other one.
+BOOST_AUTO_TEST_CASE(targetThatRestartedWithAnotherVersionIsNotUsedAgain)
+{
+    for (const std::string version : { "same", "v3" }) {
+        VersionFixture fixture;
+        Route staged = route(RouteKind::Stream, 1);
+        staged.isResumable = true;
+        staged.stages = { { ServiceName("stage"), {}, 1000 } };
+        RelayMachine machine = fixture.machine(staged, { 1 });
+        machine.start(START);
+        const std::vector<PieceCompletion> completions { { 0, StageResult { "handle", TargetId("maker") } } };
+        const RelayActions first = machine.onStageFinished(0, completions, START);
+        const std::string tried = find<SendRequest>(first)->target.id.value().substr(1);
+        machine.onHead(sentAttempt(first), head(409, false, true), START);
+        BOOST_TEST(find<OrderPieces>(machine.onFinished(sentAttempt(first), START)));
+        fixture.put(tried, version == "same" ? sentVersion(first) : version, milliseconds(500));
+        const RelayActions second = machine.onStageFinished(0, completions, START);
+        BOOST_TEST(sentVersion(second) == (version == "same" ? sentVersion(first) : "none"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(streamOfUnknownOriginIsRefused)
+{
+    VersionFixture fixture;
+    RelayMachine machine = fixture.stream(2, true);
+    const RelayActions last = machine.onUnknownOrigin(START);
+    BOOST_TEST(!find<SendRequest>(last));
+    BOOST_REQUIRE(find<RefuseRequest>(last));
+    BOOST_TEST(find<RefuseRequest>(last)->status == 503U);
+    BOOST_TEST(fixture.targets.onlyVersion(ServiceName("engine")).has_value() == false);
+}
+
+// A stream that may not be resumed is not bound to a version, and neither is another request.
+BOOST_AUTO_TEST_CASE(otherRequestsTryAnyVersion)
+{
+    VersionFixture fixture;
+    RelayMachine machine = fixture.machine(route(RouteKind::Safe, 4));
+    std::set<std::string> versions;
+    RelayActions actions = machine.start(START);
+    while (find<SendRequest>(actions)) {
+        BOOST_TEST(!find<RecordStream>(actions));
+        versions.insert(sentVersion(actions));
+        actions = machine.onFailed(sentAttempt(actions), AttemptFailure::ConnectionLost, "reset", START);
+    }
+    BOOST_TEST(versions.size() == 2U);
+}
+
 // The error response of an earlier attempt must not be written into a stream that a later attempt has started.
 BOOST_AUTO_TEST_CASE(earlierResponseIsNotForwardedWithinAStream)
 {
