Cut off responses without end

Cause: a response had no limit but that of the head; the body, the extension of a chunk and the trailer could grow without end, and so did what the collector of pieces or the reader of a greeting kept of it.

Change: a call has a largest body, after which it fails as malformed, and its buffer is bounded.

Evidence: endlessResponseIsCutOff failed before for six of ten kinds: 4.3 GB of a body read, and out of memory in a chunk extension. Heads were bounded already.

--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -26,8 +26,9 @@
 
 constexpr std::size_t READ_BUFFER_BYTES = 8192;
 constexpr std::size_t MAX_HEAD_BYTES = 64 * 1024;
-constexpr int MAX_FOREIGN_RESPONSES = 4;                 // a connection that is further out of step is not worth reading on
-constexpr std::chrono::milliseconds IDLE_SAFETY { 500 }; // a connection is not used so shortly before the server closes it
+constexpr std::size_t MAX_BUFFERED_BYTES = 2 * MAX_HEAD_BYTES; // the extension of a chunk and the trailer, which have no limit of their own
+constexpr int MAX_FOREIGN_RESPONSES = 4;                       // a connection that is further out of step is not worth reading on
+constexpr std::chrono::milliseconds IDLE_SAFETY { 500 };       // a connection is not used so shortly before the server closes it
 
 using Stream = boost::beast::tcp_stream;
 
@@ -291,7 +292,7 @@
         m_parser.emplace();
         m_parser->skip(m_request.method == "HEAD");
         m_parser->header_limit(MAX_HEAD_BYTES);
-        m_parser->body_limit(boost::none);
+        m_parser->body_limit(m_request.maxBodyBytes);
         http::async_read_header(*m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
             if (error) {
                 self->failWith(error);
@@ -437,7 +438,7 @@
     std::unique_ptr<Stream> m_stream;
     boost::asio::any_io_executor m_strand; ///< a reused connection brings its own
     boost::asio::steady_timer m_deadlineTimer;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer { MAX_BUFFERED_BYTES };
     http::request<http::string_body> m_message;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, READ_BUFFER_BYTES> m_chunk {};
--- a/src/libs/net/httpclient.h
+++ b/src/libs/net/httpclient.h
@@ -26,6 +26,8 @@
     MonotonicTime sendBefore = MonotonicTime::max();
     /** False opens a new connection, so that a failed connect proves that nothing was sent. */
     bool reuseConnection = true;
+    /** A longer response fails the call as malformed. */
+    std::uint64_t maxBodyBytes = 32U * 1024 * 1024;
     /** The connection is closed after the call when this many to the server are idle; the limit of the client applies as well. */
     std::size_t maxIdleConnections = std::numeric_limits<std::size_t>::max();
     /** Empty when the fields hold one, or there is no body. */
