Log where a stream could not be recorded and why its origin does not fit

What operators saw: a record that another daemon answered with an error looked like one that it had taken, and a stream whose service had left its route like one of unknown origin. Found by reading the diff; the log lines and the signature of onUnknownOrigin change, no decision.

--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -100,15 +100,17 @@
     if (m_machine.isFinished()) {
         return;
     }
-    const MonotonicTime now = std::chrono::steady_clock::now();
-    const bool isKnown = origin && m_machine.request().route->sendsTo(origin->service);
-    addTraceLine("origin", isKnown ? "service=" + origin->service.value() + " version=" + origin->softwareVersion : "unknown");
-    if (!isKnown) {
-        perform(m_machine.onUnknownOrigin(now));
+    const bool isOfRoute = origin && m_machine.request().route->sendsTo(origin->service);
+    addTraceLine("origin",
+                 origin ? "service=" + origin->service.value() + " version=" + origin->softwareVersion
+                         + " of_route=" + (isOfRoute ? "yes" : "no")
+                        : "unknown");
+    if (!isOfRoute) {
+        perform(m_machine.onUnknownOrigin());
         return;
     }
     m_machine.setOrigin(*origin);
-    perform(m_machine.start(now));
+    perform(m_machine.start(std::chrono::steady_clock::now()));
 }
 
 void RelaySession::shutDown()
--- a/src/app/gateway/streambroker.cpp
+++ b/src/app/gateway/streambroker.cpp
@@ -49,12 +49,18 @@
         m_recordCounter.add();
         Net::HttpCallRequest request = peerRequest(member.endpoint, RECORDS_PATH, body);
         request.deadline = now + RECORD_TIMEOUT;
-        Net::HttpCallHandlers handlers;
-        handlers.onFailed = [this, stream, vm = member.vm](Net::CallFailure, const std::string &reason) {
+        const auto onFailed = [this, stream, vm = member.vm](const std::string &reason) {
             m_log.write("stream not recorded",
                         { { "request", stream.value() }, { "vm", vm.value() }, { "reason", reason } },
                         std::chrono::steady_clock::now());
         };
+        Net::HttpCallHandlers handlers;
+        handlers.onHead = [onFailed](const Net::HttpCallHead &head) {
+            if (head.status != STATUS_OK) {
+                onFailed("status " + std::to_string(head.status));
+            }
+        };
+        handlers.onFailed = [onFailed](Net::CallFailure, const std::string &reason) { onFailed(reason); };
         m_peerClient.send(std::move(request), std::move(handlers));
     }
 }
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -89,7 +89,7 @@
     m_softwareVersion = origin.softwareVersion;
 }
 
-RelayActions RelayMachine::onUnknownOrigin(MonotonicTime)
+RelayActions RelayMachine::onUnknownOrigin()
 {
     RelayActions actions;
     if (!m_finished) {
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -324,7 +324,7 @@
 {
     VersionFixture fixture;
     RelayMachine machine = fixture.stream(2, true);
-    const RelayActions last = machine.onUnknownOrigin(START);
+    const RelayActions last = machine.onUnknownOrigin();
     BOOST_TEST(!find<SendRequest>(last));
     BOOST_REQUIRE(find<RefuseRequest>(last));
     BOOST_TEST(find<RefuseRequest>(last)->status == 503U);
