Keep transfers from renewing statements about rate limits

What callers would have seen: a limit that had ended could come back, or a limit in force be taken for ended, at daemons far from the target.

Cause: a report carries its age, the time of its transfer is missing from it, and daemons exchange reports in circles, so that an old statement became younger with each round and in the end newer than a true one.

Change: a report with the limit that is known must be clearly newer to count; responses to the daemon itself always count. Found by reading. transfersDoNotRenewAStatement holds the loop of two daemons with transfers of 200 ms.

--- a/src/app/gateway/peergossip.cpp
+++ b/src/app/gateway/peergossip.cpp
@@ -190,7 +190,7 @@
     }
     m_crashes.merge(member.vm, crashes, now);
     for (const Schema::TargetRateLimit &limit : greeting.limits.value_or(std::vector<Schema::TargetRateLimit>())) {
-        m_permitBroker.onReport(fromMessage(limit, now));
+        m_permitBroker.onReport(fromMessage(limit, now), member.vm);
     }
     if (m_members.onGreeting(member, known, now)) {
         m_log.write("peer changed",
--- a/src/app/gateway/permitbroker.cpp
+++ b/src/app/gateway/permitbroker.cpp
@@ -54,12 +54,18 @@
 
 void PermitBroker::onRateLimit(const Gateway::TargetRecord &target, const Gateway::RateLimitStatement &statement)
 {
-    apply({ target.id, target.startedAt, target.service, statement.perSecond, std::chrono::steady_clock::now() }, "response");
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const std::optional<double> before = m_targets.rateLimits().perSecond(target.id, target.startedAt);
+    m_targets.setRateLimit(target, statement, now);
+    logChange({ target.id, target.startedAt, target.service, statement.perSecond, now }, before, "response");
 }
 
-void PermitBroker::onReport(const Gateway::RateLimitReport &report)
+void PermitBroker::onReport(const Gateway::RateLimitReport &report, const VmId &source)
 {
-    apply(report, "peer");
+    Gateway::TargetRateLimits &limits = m_targets.rateLimits();
+    const std::optional<double> before = limits.perSecond(report.target, report.startedAt);
+    limits.merge(report, std::chrono::steady_clock::now());
+    logChange(report, before, source.value());
 }
 
 void PermitBroker::handleRequest(const Net::HttpExchangePointer &exchange)
@@ -71,7 +77,7 @@
         const auto message = Schema::parseBoundedCbor(exchange->request().body()).get<Schema::PermitRequest>();
         const Gateway::ServiceName service(message.service);
         for (const Schema::TargetRateLimit &limit : message.limits) {
-            apply(fromMessage(limit, now), message.vm);
+            onReport(fromMessage(limit, now), VmId(message.vm));
         }
         std::vector<Gateway::RequestPermits> returned;
         for (const Schema::TargetPermits &permits : message.returned) {
@@ -151,7 +157,7 @@
     try {
         const auto grant = Schema::parseBoundedCbor(body).get<Schema::PermitGrant>();
         for (const Schema::TargetRateLimit &limit : grant.limits) {
-            apply(fromMessage(limit, now), issuer.value());
+            onReport(fromMessage(limit, now), issuer);
         }
         for (const Schema::TargetPermits &message : grant.permits) {
             const Gateway::RequestPermits permits = fromMessage(message);
@@ -177,16 +183,13 @@
     }
 }
 
-void PermitBroker::apply(const Gateway::RateLimitReport &report, const std::string &source)
+void PermitBroker::logChange(const Gateway::RateLimitReport &report, const std::optional<double> &before, const std::string &source)
 {
-    const MonotonicTime now = std::chrono::steady_clock::now();
-    Gateway::TargetRateLimits &limits = m_targets.rateLimits();
-    const std::optional<double> before = limits.perSecond(report.target, report.startedAt);
-    limits.apply(report, now);
-    const std::optional<double> after = limits.perSecond(report.target, report.startedAt);
+    const std::optional<double> after = m_targets.rateLimits().perSecond(report.target, report.startedAt);
     if (before == after) {
         return;
     }
+    const MonotonicTime now = std::chrono::steady_clock::now();
     m_log.write("target rate limit",
                 { { "target", report.target.value() },
                   { "service", report.service.value() },
--- a/src/app/gateway/permitbroker.h
+++ b/src/app/gateway/permitbroker.h
@@ -36,7 +36,7 @@
     /** A response of the target has stated its rate limit, or none. */
     void onRateLimit(const Gateway::TargetRecord &target, const Gateway::RateLimitStatement &statement);
     /** Another daemon has reported a rate limit. */
-    void onReport(const Gateway::RateLimitReport &report);
+    void onReport(const Gateway::RateLimitReport &report, const VmId &source);
     /** Handles the permit request of another daemon. */
     void handleRequest(const Net::HttpExchangePointer &exchange);
     /** Call when the set of known daemons has changed. */
@@ -54,7 +54,7 @@
     void sendRequest(const Gateway::ServiceName &service, const Gateway::Member &issuer);
     void onResponse(const Gateway::ServiceName &service, const VmId &issuer, unsigned status, const std::string &body);
     void finish(const Gateway::ServiceName &service, int received, const std::string &outcome);
-    void apply(const Gateway::RateLimitReport &report, const std::string &source);
+    void logChange(const Gateway::RateLimitReport &report, const std::optional<double> &before, const std::string &source);
 
     boost::asio::io_context &m_context;
     Net::HttpClient &m_peerClient;
--- a/src/libs/gateway/targetratelimits.cpp
+++ b/src/libs/gateway/targetratelimits.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::seconds ENDED_LIMIT_LIFETIME { 60 };        // other daemons learn of the end of a limit well within this time
 constexpr std::chrono::minutes LIMIT_LIFETIME { 10 };              // of a limit that no response has confirmed
 constexpr std::chrono::milliseconds DENIED_INTERVAL_PER_VM { 20 }; // 50 requests per second reach an issuer without permits
+constexpr std::chrono::milliseconds MAX_TRANSFER_TIME { 1000 };    // of a greeting, with both responses
 constexpr int MAX_WANTED_PERMITS = 64;
 constexpr std::size_t MAX_REPORTS = 256; // in one message
 
@@ -55,7 +56,27 @@
     }
 }
 
-void TargetRateLimits::apply(const RateLimitReport &report, MonotonicTime now)
+void TargetRateLimits::apply(const TargetRecord &target, const RateLimitStatement &statement, MonotonicTime now)
+{
+    put({ target.id, target.startedAt, target.service, statement.perSecond, now }, now);
+}
+
+// Each transfer makes a statement seem younger by the time that it takes. A report with the same limit must therefore be clearly newer, or
+// daemons would renew an old statement for each other without end.
+void TargetRateLimits::merge(const RateLimitReport &report, MonotonicTime now)
+{
+    const auto known = m_limits.find({ report.target, report.startedAt });
+    if (known != m_limits.end()) {
+        const RateLimitReport &current = known->second.report;
+        const Duration minAdvance = current.perSecond == report.perSecond ? Duration(MAX_TRANSFER_TIME) : Duration::zero();
+        if (report.statedAt <= current.statedAt + minAdvance) {
+            return;
+        }
+    }
+    put(report, now);
+}
+
+void TargetRateLimits::put(const RateLimitReport &report, MonotonicTime now)
 {
     const auto known = m_limits.find({ report.target, report.startedAt });
     if (known == m_limits.end()) {
@@ -67,9 +88,6 @@
         return;
     }
     Limit &limit = known->second;
-    if (report.statedAt <= limit.report.statedAt) {
-        return;
-    }
     refill(limit, now);
     limit.report = report;
     refill(limit, now);
--- a/src/libs/gateway/targetratelimits.h
+++ b/src/libs/gateway/targetratelimits.h
@@ -53,8 +53,10 @@
     /** Call whenever the result of the share function may have changed. */
     void updateShares(MonotonicTime now);
 
-    /** Applies a statement unless a newer one is known. */
-    void apply(const RateLimitReport &report, MonotonicTime now);
+    /** Applies what a response to this daemon stated. */
+    void apply(const TargetRecord &target, const RateLimitStatement &statement, MonotonicTime now);
+    /** Applies the report of another daemon unless a newer statement is known. */
+    void merge(const RateLimitReport &report, MonotonicTime now);
     bool isLimited(const TargetRecord &target) const;
     /** Returns the limit that the target named last; no value if it names none. */
     std::optional<double> perSecond(const TargetId &target, StartTime startedAt) const;
@@ -102,6 +104,7 @@
         MonotonicTime nextRequestAt {};
     };
 
+    void put(const RateLimitReport &report, MonotonicTime now);
     Limit *find(const TargetId &target, StartTime startedAt);
     const Limit *find(const TargetRecord &target) const;
     std::optional<double> issuedShare(const ServiceName &service) const;
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -192,7 +192,7 @@
 
 void TargetRegistry::setRateLimit(const TargetRecord &target, const RateLimitStatement &statement, MonotonicTime now)
 {
-    m_rateLimits.apply({ target.id, target.startedAt, target.service, statement.perSecond, now }, now);
+    m_rateLimits.apply(target, statement, now);
 }
 
 std::vector<TargetRecord> TargetRegistry::usableTargets(const ServiceName &service, MonotonicTime now) const
--- a/tests/auto/gateway/ratelimitsimulation.cpp
+++ b/tests/auto/gateway/ratelimitsimulation.cpp
@@ -203,7 +203,7 @@
     }
     const Member member { vmId(from), endpointOf(from), 1, false };
     for (const RateLimitReport &report : sender.targets->rateLimits().newestReports(32)) {
-        receiver.targets->rateLimits().apply(report, m_now);
+        receiver.targets->rateLimits().merge(report, m_now);
     }
     if (receiver.members->onGreeting(member, known, m_now)) {
         updateShares(to);
@@ -225,7 +225,7 @@
     if (reaches(vm, issuer)) {
         TargetRegistry &targets = *m_vms[static_cast<std::size_t>(issuer)].targets;
         for (const RateLimitReport &report : limits.reports(service)) {
-            targets.rateLimits().apply(report, m_now);
+            targets.rateLimits().merge(report, m_now);
         }
         targets.rateLimits().takeBack(unused, m_now);
         const std::vector<TargetRecord> usable = targets.usableTargets(service, m_now);
@@ -234,7 +234,7 @@
             received += permits.count;
         }
         for (const RateLimitReport &report : targets.rateLimits().reports(service)) {
-            limits.apply(report, m_now);
+            limits.merge(report, m_now);
         }
         self.members->onHeard(owner->vm, m_now);
     }
--- a/tests/auto/gateway/tst_targetratelimits.cpp
+++ b/tests/auto/gateway/tst_targetratelimits.cpp
@@ -92,7 +92,7 @@
     BOOST_TEST(simulation.arrivals(0) - before >= 5U * 60 / 4 / 2);
 }
 
-// A limit that binds nobody costs its target nothing.
+// A limit that is never reached takes nothing from its target.
 BOOST_DATA_TEST_CASE(targetWithALimitAboveTheTrafficKeepsItsShare, data::make(FLEET_SIZES), vms)
 {
     RateLimitSimulation simulation(vms, 4);
@@ -200,20 +200,39 @@
 {
     TargetRateLimits limits;
     const TargetRecord record = target("t0", "engine");
-    const auto report = [&record](std::optional<double> perSecond, MonotonicTime at) {
-        return RateLimitReport { record.id, record.startedAt, record.service, perSecond, at };
-    };
-    limits.apply(report(5, START), START);
-    limits.apply(report(std::nullopt, START + seconds(2)), START + seconds(2));
-    limits.apply(report(5, START + seconds(1)), START + seconds(3));
+    limits.apply(record, { 5.0 }, START);
+    limits.apply(record, { std::nullopt }, START + seconds(2));
+    limits.merge({ record.id, record.startedAt, record.service, 5.0, START + seconds(1) }, START + seconds(3));
     BOOST_TEST(!limits.isLimited(record));
+    limits.merge({ record.id, record.startedAt, record.service, 4.0, START + seconds(4) }, START + seconds(4));
+    BOOST_TEST(limits.isLimited(record));
+}
+
+// The time of each transfer is missing from the age of a report, so that two daemons could renew it for each other.
+BOOST_AUTO_TEST_CASE(transfersDoNotRenewAStatement)
+{
+    const milliseconds transfer { 200 };
+    const TargetRecord record = target("t0", "engine");
+    TargetRateLimits first;
+    TargetRateLimits second;
+    first.apply(record, { 5.0 }, START);
+    for (int round = 1; round <= 100; ++round) {
+        const MonotonicTime now = START + round * transfer;
+        TargetRateLimits &sender = round % 2 == 1 ? first : second;
+        TargetRateLimits &receiver = round % 2 == 1 ? second : first;
+        for (RateLimitReport report : sender.newestReports(1)) {
+            report.statedAt += transfer;
+            receiver.merge(report, now);
+        }
+    }
+    BOOST_TEST((second.newestReports(1).front().statedAt <= START + seconds(1)));
 }
 
 BOOST_AUTO_TEST_CASE(unusedPermitsAreIssuedAgainAndExpire)
 {
     const TargetRecord record = target("t0", "engine");
     TargetRateLimits issuer;
-    issuer.apply({ record.id, record.startedAt, record.service, 1.0, START }, START);
+    issuer.apply(record, { 1.0 }, START);
     const MonotonicTime later = START + seconds(3);
     const std::vector<RequestPermits> issued = issuer.issue({ record }, 5, later);
     BOOST_REQUIRE(issued.size() == 1U);
@@ -224,7 +243,7 @@
 
     TargetRateLimits user;
     user.setShareFunction([](const ServiceName &) { return std::nullopt; }, START);
-    user.apply({ record.id, record.startedAt, record.service, 1.0, START }, START);
+    user.apply(record, { 1.0 }, START);
     BOOST_TEST(!user.canSend(record, later));
     user.addPermits(issued.front(), later);
     BOOST_TEST(user.canSend(record, later));
