Reproduce a request that goes on crashing targets

tst_crashes plays daemons, targets that come back late or at once, and one request that comes again and again, in virtual time.

--- /dev/null
+++ b/tests/auto/gateway/crashsimulation.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "simulatedfleet.h"
+
+#include <map>
+#include <random>
+#include <set>
+
+namespace CassiaRelay::Gateway {
+
+/** How a crashed target comes back. */
+enum class TargetReturn {
+    Late,   ///< with another id at another address, after seconds in which it refuses connections
+    AtOnce, ///< with another id at the same address; the store tells it late
+    SameId, ///< with the same id at the same address; the store tells it late
+};
+
+/** Requests that crash the targets that run them, beside sound ones, at daemons that share the targets. Replays them in virtual time. */
+class CrashSimulation
+{
+public:
+    CrashSimulation(int vmCount, int targetCount, std::uint64_t seed = 1);
+
+    void setReturns(std::vector<TargetReturn> ways);
+    /** @param perSecond sound requests of all callers */
+    void setSoundRate(double perSecond);
+    /** Sends a bad request at a random daemon, again and again. */
+    void startBadRequests(Duration minPause, Duration maxPause);
+    void stopBadRequests();
+    /** Crashes targets that ran nothing bad. */
+    void crashSome(int count);
+    /** The connections of all daemons to all targets are reset. */
+    void resetConnections();
+    void run(Duration duration);
+
+    SimulatedFleet &fleet();
+    void kill(int vm);
+    void start(int vm);
+
+    int crashes() const;
+    /** Bad requests that reached a target later than 3 s after so many crashes by them. */
+    int lateArrivals(std::size_t crashes) const;
+    /** Share of the sound requests sent since then that got a response. */
+    double soundBegun(MonotonicTime since) const;
+    MonotonicTime now() const;
+
+private:
+    struct Vm;
+    struct Job;
+    using JobPointer = std::shared_ptr<Job>;
+    /** An address at which one target after the other listens. */
+    struct Slot {
+        TargetRecord record;
+        int incarnation = 0;
+        bool isUp = true;
+        std::set<std::pair<JobPointer, AttemptNumber>> running;
+    };
+
+    void schedule(Duration delay, std::function<void()> event);
+    /** Delivers to the daemon of the job, later if it is frozen, not at all if it was killed. */
+    void deliver(const JobPointer &job, Duration delay, std::function<RelayActions(RelayMachine &)> event);
+    void sendSound();
+    void sendBad();
+    void send(bool isBad, const std::string &body);
+    void perform(const JobPointer &job, const RelayActions &actions);
+    void arrive(const JobPointer &job, const SendRequest &action);
+    void begin(const JobPointer &job, AttemptNumber attempt, std::size_t slot, int incarnation);
+    void end(const JobPointer &job, AttemptNumber attempt, std::size_t slot, int incarnation);
+    void crash(std::size_t slot);
+    void publish(std::size_t slot, const TargetRecord &gone);
+    std::shared_ptr<Vm> makeVm(int vm);
+
+    MonotonicTime m_now = Samples::START;
+    std::multimap<MonotonicTime, std::function<void()>> m_events;
+    std::mt19937_64 m_random;
+    std::vector<TargetReturn> m_returns { TargetReturn::Late };
+    std::vector<Slot> m_slots;
+    std::vector<std::shared_ptr<Vm>> m_vms;
+    SimulatedFleet m_fleet;
+    RouteTablePointer m_table;
+    double m_soundRate = 60;
+    Duration m_minPause {};
+    Duration m_maxPause {};
+    bool m_sendsBad = false;
+    int m_numbers = 0;
+    std::vector<MonotonicTime> m_crashes;       ///< by bad requests
+    std::vector<MonotonicTime> m_arrivals;      ///< of bad requests
+    std::multimap<MonotonicTime, bool> m_sound; ///< when it was sent, whether it began
+};
+
+} // namespace CassiaRelay::Gateway
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -29,10 +29,15 @@
      "priority": 0, "maxAttempts": 2},
     {"name": "look", "prefix": "/look/", "service": "desk", "kind": "safe", "timeoutMs": 8000, "targetLatencyMs": 300,
      "priority": 1, "maxAttempts": 2},
+    {"name": "answer", "prefix": "/answer/", "service": "model", "kind": "stream", "timeoutMs": 8000, "targetLatencyMs": 2000,
+     "priority": 0, "maxAttempts": 2, "resumable": True, "gapAimMs": 500},
+    {"name": "count", "prefix": "/count/", "service": "counter", "kind": "safe", "timeoutMs": 8000, "targetLatencyMs": 300,
+     "priority": 1, "maxAttempts": 2},
 ]
 UNSAFE_ROUTES = {route["name"] for route in ROUTES if route["kind"] == "unsafe"}
 PIECES = {"slots": 1, "queue": 1, "batch": 8, "callMs": 20, "itemMs": 1, "headroomMb": ROOM * RESULT_BYTES / 1e6, "handleS": 10, "linkMbps": 1000}
-SERVICES = [{"name": "engine", "coldPerS": 5}, {"name": "desk", "coldPerS": 5},
+SERVICES = [{"name": "engine", "coldPerS": 5}, {"name": "desk", "coldPerS": 5}, {"name": "model", "coldPerS": 5},
+            {"name": "counter", "coldPerS": 5},
             {"name": "encode", "coldPerS": 5, "pieces": PIECES}, {"name": "retrieve", "coldPerS": 5, "pieces": PIECES}]
 PIECES_WANTED = {"draft": "2,3"}
 TARGET_OPTIONS = {"engine": ("--streams", "--tokens", EVENTS), "desk": (),
@@ -125,7 +130,7 @@
         self.put_item("servers/" + target["target"], {
             "service": target["pool"], "address": f"127.0.0.1:{target['port']}", "zone": target["failureDomain"],
             "version": target.setdefault("version", "1"),
-            "slots": 64, "state": state, "coldRemainingMs": 0, "seq": 1, "born": 1})
+            "slots": 64, "state": state, "coldRemainingMs": 0, "seq": 1, "born": target.get("born", 1)})
 
     def remove_target(self, name):
         self.remove_item(f"servers/{name}")
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -2,22 +2,37 @@
 
 import json
 import signal
+import time
 
+from crashloads import CrashLoad
 from fleet import http_json, wait_until
+from fragiletargets import BAD_PROMPT, FragileTargets
 from gateways import KEY, UNSAFE_ROUTES, ResumedLoad, RoutedCall, RoutedLoad
 from scenario import COMPARE, Scenario
 
 
+STREAMING_SERVICES = {"model"}
+
+
 class GatewayScenario(Scenario):
     """One run of a script with gateways before the users' kind of targets."""
 
-    # start platform | start service NAME COUNT OPTIONS... | start gateways COUNT | start load ROUTE RATE | start resumed-load RATE
+    def __init__(self, fleet):
+        super().__init__(fleet)
+        self.fragile = FragileTargets(fleet)
+
+    # start platform | start service NAME COUNT OPTIONS... | start fragile-service NAME COUNT WAY,... | start gateways COUNT
+    # start load ROUTE RATE | start resumed-load RATE | start crash-load ROUTE RATE
     def verb_start(self, what, *words):
         if what == "platform":
             self.fleet.start_platform()
             self.fleet.publish_routes()
         elif what == "service":
             self.fleet.start_service(words[0], int(words[1]), words[2:])
+        elif what == "fragile-service":
+            self.fragile.start_service(words[0], int(words[1]), words[0] in STREAMING_SERVICES, words[2].split(","))
+        elif what == "crash-load":
+            self.load = CrashLoad(self.fleet, self.fragile, words[0], float(words[1]))
         elif what == "gateways":
             self.fleet.start_gateways(int(words[0]))
         elif what == "load":
@@ -76,6 +91,15 @@
     def verb_crash(self, name):
         http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"die": True}))
 
+    # send-bad same-request: the crash load sends one request again and again
+    def verb_send_bad(self, what):
+        assert what == "same-request", f"cannot send {what}"
+        self.load.send_bad(BAD_PROMPT, None)
+
+    # crash-some SERVICE COUNT: targets crash without a cause
+    def verb_crash_some(self, service, count):
+        self.fragile.crash_some(service, int(count))
+
     # shut-down VM: the process has to end by itself
     def verb_shut_down(self, name):
         vm = self.fleet.vms[name]
@@ -139,6 +163,26 @@
         lines = (self.fleet.work / f"{name}.out").read_text()
         return f'event="{event}"' in lines or f"event={event} " in lines, "no such line"
 
+    # late-arrivals CRASHES OPERATOR COUNT: bad requests of one kind that reach targets later than 3 s after that many crashes
+    def condition_late_arrivals(self, crashes, operator, count):
+        seen = [culprit.late_arrivals(int(crashes)) for culprit in self.fragile.culprits.values()]
+        return COMPARE[operator](max(seen, default=0), int(count)), self.load.counts
+
+    # crashes OPERATOR COUNT: by bad requests
+    def condition_crashes(self, operator, count):
+        seen = sum(len(culprit.crashes) for culprit in self.fragile.culprits.values())
+        return COMPARE[operator](seen, int(count)), seen
+
+    # sound-begun OPERATOR SHARE [SECONDS]: sound requests that began at their first attempt, of the last seconds
+    def condition_sound_begun(self, operator, share, seconds=None):
+        seen = self.load.sound_begun(time.monotonic() - float(seconds) if seconds else 0.0)
+        return COMPARE[operator](seen, float(share)), self.load.counts
+
+    # sound-wrong OPERATOR COUNT: sound requests whose whole answer was not theirs; ends the load first
+    def condition_sound_wrong(self, operator, count):
+        self.load.stop()
+        return COMPARE[operator](self.load.ends["sound wrong"], int(count)), self.load.examples[:3]
+
     # total FIGURE OPERATOR COUNT: a figure that targets tell, over all of them
     def condition_total(self, figure, operator, count):
         seen = sum(stats.get(figure, 0) for stats in self.fleet.target_stats())
