Stop a request that crashes targets at all daemons

Cause: a crash counted only when the daemon that lost the connection found the target down within 1.5 s; an answer without length and chunks that ended by the crash counted as complete; the count ended 60 s after the last crash, was told only by the daemon that had seen it, and was erased and brought back by turns; the ban was looked up at arrival, not when the request was sent.

Change: CrashTracker gathers the same evidence at all daemons: crashes by target run, voided by a completion anywhere, passed on with the greetings. A target that refuses connections, is another one, has restarted or stays silent has crashed; several lost at once were reset. Bans last while the request comes; their owner lets one through rarely. RelayMachine asks before each sending. HttpClient tells refused and timed out connections from those that the target closed.

Why it works: evidence no longer depends on who sends to the target next, and a daemon that is new or was cut off gets all bans with its first greeting.

Tests of the tracker that used its old interface are rewritten: requestThatCrashesTargetsIsBanned now demands that the ban still holds after 90 s, where it demanded the end of it, which was one of the faults; copiesOnOneTargetCountOnceAndCountsOfDaemonsAreSummed demands that two daemons that saw one crash count it once.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -19,7 +19,8 @@
 constexpr std::chrono::milliseconds MAX_IDLE_TIME { 10000 };
 constexpr std::size_t MAX_IDLE_PER_TARGET = 4; // TargetRegistry lowers it where many daemons share the connections of a target
 constexpr std::size_t MAX_IDLE_PER_PEER = 16;
-constexpr int MIN_SHARED_VMS = 12; // the size of a cell; fewer VMs may grow to it before all of them have noticed
+constexpr std::size_t MAX_LOGGED_SUSPECTS = 8; // keeps the line short; all of them are counted
+constexpr int MIN_SHARED_VMS = 12;             // the size of a cell; fewer VMs may grow to it before all of them have noticed
 
 Net::HttpClientLimits clientLimits(std::size_t idlePerServer)
 {
@@ -138,6 +139,7 @@
                                                     m_log,
                                                     [this] { onMembersChanged(); });
         m_members.setSeeds(settings.seeds);
+        m_crashes.setOwnerFunction([this](Fingerprint fingerprint) { return m_members.owns(fingerprint.value()); });
         m_targets.rateLimits().setShareFunction(
             [this](const Gateway::ServiceName &service) { return m_members.ownedShare(service, m_settings.maxVms); },
             std::chrono::steady_clock::now());
@@ -220,7 +222,11 @@
                   { "restarted", change.hasRestarted ? "yes" : "no" },
                   { "revision", std::to_string(m_catalogue.revision()) } },
                 now);
-    m_crashes.recordTargetDown(change.id, now);
+    if (change.hasRestarted) {
+        m_crashes.recordTargetRestarted(change.id, now);
+    } else {
+        m_crashes.recordTargetGone(change.id, now);
+    }
     m_targets.remove(change.id);
 }
 
@@ -263,6 +269,36 @@
     m_pieceBroker.onMembersChanged();
 }
 
+void GatewayDaemon::logCrashEvents()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const auto log = Overloaded {
+        [this, now](const Gateway::CrashCounted &crash) {
+            std::string suspects;
+            for (std::size_t index = 0; index < std::min(crash.suspects.size(), MAX_LOGGED_SUSPECTS); ++index) {
+                suspects += (index == 0 ? "" : ",") + hexText(crash.suspects[index].value());
+            }
+            m_log.write("crash counted",
+                        { { "target", crash.target.value() },
+                          { "evidence", std::string(toString(crash.evidence)) },
+                          { "age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at).count()) },
+                          { "requests", std::to_string(crash.suspects.size()) },
+                          { "fingerprints", suspects } },
+                        now);
+        },
+        [this, now](const Gateway::RequestBanned &ban) {
+            m_log.write(
+                "request banned", { { "fingerprint", hexText(ban.fingerprint.value()) }, { "crashes", std::to_string(ban.crashes) } }, now);
+        },
+        [this, now](const Gateway::BanLifted &ban) {
+            m_log.write("ban lifted", { { "fingerprint", hexText(ban.fingerprint.value()) } }, now);
+        },
+    };
+    for (const Gateway::CrashEvent &event : m_crashes.takeEvents()) {
+        std::visit(log, event);
+    }
+}
+
 void GatewayDaemon::handlePeer(const Net::HttpExchangePointer &exchange)
 {
     const std::string target(exchange->request().target());
@@ -412,6 +448,8 @@
     const MonotonicTime now = std::chrono::steady_clock::now();
     onCatalogueChanges(m_catalogue.expire(now));
     m_targets.rateLimits().removeExpired(now);
+    m_crashes.expire(now);
+    logCrashEvents();
     m_streamBroker.removeExpired();
     m_targetClient.closeExpired();
     m_peerClient.closeExpired();
--- a/src/app/gateway/gatewaydaemon.h
+++ b/src/app/gateway/gatewaydaemon.h
@@ -36,6 +36,7 @@
     void apply(const Gateway::EntryRejected &change);
     void scheduleExpiry();
     void onMembersChanged();
+    void logCrashEvents();
     void handlePeer(const Net::HttpExchangePointer &exchange);
     void handleReadiness(const Net::HttpExchangePointer &exchange);
     void handleMetrics(const Net::HttpExchangePointer &exchange);
--- a/src/app/gateway/peergossip.cpp
+++ b/src/app/gateway/peergossip.cpp
@@ -12,21 +12,48 @@
 
 constexpr std::size_t MAX_RATE_LIMITS = 32; // in a greeting; targets in need are few at a time
 
-std::string toHex(Fingerprint fingerprint)
+std::int64_t toMilliseconds(Duration duration)
 {
-    constexpr int DIGITS = 16;
-    std::string text(DIGITS, '0');
-    std::uint64_t value = fingerprint.value();
-    for (int digit = DIGITS - 1; digit >= 0; --digit) {
-        text[static_cast<std::size_t>(digit)] = "0123456789abcdef"[value % 16];
-        value /= 16;
-    }
-    return text;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
-Gateway::CrashCount toCrashCount(const Schema::CrashReport &report)
+std::optional<Duration> fromMilliseconds(const std::optional<std::int64_t> &milliseconds)
 {
-    return { Fingerprint(std::strtoull(report.fingerprint.c_str(), nullptr, 16)), static_cast<int>(report.count) };
+    return milliseconds ? std::optional<Duration>(std::chrono::milliseconds(*milliseconds)) : std::nullopt;
+}
+
+Schema::SuspectReport toMessage(const Gateway::SuspectReport &report)
+{
+    Schema::SuspectReport message;
+    message.fingerprint = static_cast<std::int64_t>(report.fingerprint.value());
+    for (const Gateway::SuspectReport::Crash &crash : report.crashes) {
+        message.runs.push_back(static_cast<std::int64_t>(crash.run.value()));
+        message.ageMs.push_back(toMilliseconds(crash.age));
+    }
+    message.seenMs = toMilliseconds(report.seenAge);
+    message.trials = report.trials;
+    if (report.completedAge) {
+        message.completedMs = toMilliseconds(*report.completedAge);
+    }
+    if (report.trialAge) {
+        message.trialMs = toMilliseconds(*report.trialAge);
+    }
+    return message;
+}
+
+Gateway::SuspectReport fromMessage(const Schema::SuspectReport &message)
+{
+    Gateway::SuspectReport report;
+    report.fingerprint = Fingerprint(static_cast<std::uint64_t>(message.fingerprint));
+    for (std::size_t index = 0; index < std::min(message.runs.size(), message.ageMs.size()); ++index) {
+        report.crashes.push_back(
+            { Gateway::TargetRun(static_cast<std::uint64_t>(message.runs[index])), std::chrono::milliseconds(message.ageMs[index]) });
+    }
+    report.completedAge = fromMilliseconds(message.completedMs);
+    report.seenAge = std::chrono::milliseconds(message.seenMs);
+    report.trials = static_cast<int>(message.trials);
+    report.trialAge = fromMilliseconds(message.trialMs);
+    return report;
 }
 
 } // namespace
@@ -101,7 +128,7 @@
     for (const Gateway::Member &member : lost) {
         m_log.write("peer lost", { { "vm", member.vm.value() }, { "address", member.endpoint.text() } }, now);
     }
-    m_crashes.removeExpired(now);
+    m_crashes.expire(now);
     for (const Endpoint &endpoint : m_members.endpointsToGreet(now)) {
         sendGreeting(endpoint);
     }
@@ -157,10 +184,14 @@
             greeting.known.push_back(member.endpoint.text());
         }
     }
-    for (const Gateway::CrashCount &count : m_crashes.localCounts(std::chrono::steady_clock::now())) {
-        greeting.crashes.push_back({ count.crashes, toHex(count.fingerprint) });
-    }
     const MonotonicTime now = std::chrono::steady_clock::now();
+    std::vector<Schema::SuspectReport> suspects;
+    for (const Gateway::SuspectReport &report : m_crashes.reports(now)) {
+        suspects.push_back(toMessage(report));
+    }
+    if (!suspects.empty()) {
+        greeting.suspects = std::move(suspects);
+    }
     std::vector<Schema::TargetRateLimit> limits;
     for (const Gateway::RateLimitReport &report : m_rateLimits.newestReports(MAX_RATE_LIMITS)) {
         limits.push_back(toMessage(report, now));
@@ -184,11 +215,11 @@
     for (const std::string &address : greeting.known) {
         known.push_back(Endpoint::parse(address));
     }
-    std::vector<Gateway::CrashCount> crashes;
-    for (const Schema::CrashReport &report : greeting.crashes) {
-        crashes.push_back(toCrashCount(report));
+    std::vector<Gateway::SuspectReport> suspects;
+    for (const Schema::SuspectReport &report : greeting.suspects.value_or(std::vector<Schema::SuspectReport>())) {
+        suspects.push_back(fromMessage(report));
     }
-    m_crashes.merge(member.vm, crashes, now);
+    m_crashes.merge(suspects, now);
     for (const Schema::TargetRateLimit &limit : greeting.limits.value_or(std::vector<Schema::TargetRateLimit>())) {
         m_permitBroker.onReport(fromMessage(limit, now), member.vm);
     }
--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -42,10 +42,12 @@
 {
     switch (failure) {
     case Net::CallFailure::NotSent:
+    case Net::CallFailure::Refused:
         return Gateway::AttemptResult::Unreachable;
     case Net::CallFailure::TimedOut:
         return Gateway::AttemptResult::Silent;
     case Net::CallFailure::ConnectionLost:
+    case Net::CallFailure::Unresponsive:
     case Net::CallFailure::Malformed:
         break;
     }
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -16,6 +16,10 @@
     switch (failure) {
     case Net::CallFailure::NotSent:
         return Gateway::AttemptFailure::NotSent;
+    case Net::CallFailure::Refused:
+        return Gateway::AttemptFailure::Refused;
+    case Net::CallFailure::Unresponsive:
+        return Gateway::AttemptFailure::Unresponsive;
     case Net::CallFailure::TimedOut:
         return Gateway::AttemptFailure::TimedOut;
     case Net::CallFailure::Malformed:
@@ -315,6 +319,7 @@
     if (response.rateLimit) {
         m_services.permitBroker.onRateLimit(target, *response.rateLimit);
     }
+    response.head.hasOpenEnd = head.hasOpenEnd;
     perform(m_machine.onHead(attempt, std::move(response.head), now));
 }
 
--- a/src/libs/common/hash.cpp
+++ b/src/libs/common/hash.cpp
@@ -14,6 +14,17 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+std::string hexText(std::uint64_t value)
+{
+    constexpr std::size_t DIGITS = 16;
+    std::string text(DIGITS, '0');
+    for (auto digit = text.rbegin(); digit != text.rend(); ++digit) {
+        *digit = "0123456789abcdef"[value % 16];
+        value /= 16;
+    }
+    return text;
+}
+
 std::string sha256Hex(std::string_view text)
 {
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
--- a/src/libs/common/hash.h
+++ b/src/libs/common/hash.h
@@ -9,6 +9,9 @@
 /** Stable 64-bit hash: the same on every daemon and in every version. */
 std::uint64_t stableHash(std::string_view text, std::uint64_t seed = 0);
 
+/** 16 lower-case hexadecimal digits. */
+std::string hexText(std::uint64_t value);
+
 /** Lower-case hexadecimal SHA-256 digest of text. */
 std::string sha256Hex(std::string_view text);
 
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -238,6 +238,14 @@
     return static_cast<double>(count()) / std::max(known, count());
 }
 
+bool Members::owns(std::uint64_t key) const
+{
+    const std::uint64_t ownRank = stableHash(m_self.value(), key);
+    return !m_isLeaving && std::none_of(m_members.begin(), m_members.end(), [key, ownRank](const auto &entry) {
+        return !entry.second.member.isLeaving && stableHash(entry.first.value(), key) > ownRank;
+    });
+}
+
 std::vector<Member> Members::ranked(const std::string &key, std::size_t maxCount) const
 {
     const std::uint64_t seed = stableHash(key);
--- a/src/libs/gateway/members.h
+++ b/src/libs/gateway/members.h
@@ -71,6 +71,8 @@
      * @param maxVms daemons that are assumed until another one was heard
      */
     std::optional<double> ownedShare(const ServiceName &service, int maxVms) const;
+    /** Whether this daemon comes first in the rendezvous ranking of a key. */
+    bool owns(std::uint64_t key) const;
     /** The other daemons that come first in the rendezvous ranking of a key, without those that are leaving. */
     std::vector<Member> ranked(const std::string &key, std::size_t maxCount) const;
     void setLeaving();
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -15,6 +15,7 @@
     unsigned status = 0;
     bool isStamped = false;        ///< carries the response stamp, without which a success is not forwarded
     bool isNotRun = false;         ///< the target states that it did not run the request
+    bool hasOpenEnd = false;       ///< has neither a length nor chunks and ends with its connection
     std::vector<HttpField> fields; ///< header fields to forward
 };
 
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -61,10 +61,15 @@
 {
     RelayActions actions;
     m_context.retries.recordRequest(m_request.service, now);
-    if (m_context.crashes.isBanned(m_request.fingerprint, now)) {
-        giveUp(GiveUpCause::Banned, {}, RETRY_BANNED, actions);
+    const Admission admission = m_context.crashes.admit(m_request.fingerprint, now);
+    if (admission == Admission::Banned) {
+        giveUp(GiveUpCause::Banned, banDetail(), RETRY_BANNED, actions);
         return actions;
     }
+    if (admission == Admission::Trial) {
+        m_isTrial = true;
+        logDecision(actions, "banned request let through", banDetail());
+    }
     if (now + MIN_USEFUL_TIME > m_request.endsAt()) {
         giveUp(GiveUpCause::DeadlineUnreachable, {}, RETRY_SOON, actions);
         return actions;
@@ -151,6 +156,11 @@
     if (!isCurrent(attempt)) {
         return actions;
     }
+    if (head.status == STATUS_MISDIRECTED) {
+        m_context.crashes.recordTargetGone(m_attempt->target.id, now);
+    } else {
+        m_context.crashes.recordResponse(m_attempt->target.id, m_attempt->sentAt);
+    }
     const bool isSuccess = head.status >= STATUS_OK && head.status < 300;
     if (isSuccess && !head.isStamped) {
         actions.emplace_back(CancelAttempt { attempt });
@@ -209,13 +219,15 @@
         onCompleteResponse(actions, now);
         return actions;
     }
-    if (m_framer.hasPartialEvent()) {
-        onResponseLost(GiveUpCause::IncompleteResponse, "the stream ended within an event", actions, now);
+    const ResponseHead head = *m_attempt->head;
+    if (m_framer.hasPartialEvent() || (head.hasOpenEnd && !m_streamStarted)) {
+        m_context.crashes.recordConnectionLoss(m_request.fingerprint, m_attempt->target, now);
+        const std::string detail = m_streamStarted ? "the stream ended within an event" : "the stream ended before its first event";
+        onResponseLost(GiveUpCause::IncompleteResponse, detail, actions, now);
         return actions;
     }
-    const ResponseHead head = *m_attempt->head;
+    recordCompletion(head, m_attempt->target, now);
     endAttempt(AttemptResult::Succeeded, now);
-    m_context.crashes.recordCompletion(m_request.fingerprint);
     if (m_streamStarted) {
         finish(EndStream {}, actions);
     } else {
@@ -231,10 +243,12 @@
         return actions;
     }
     switch (failure) {
+    case AttemptFailure::Refused:
+        m_context.crashes.recordTargetGone(m_attempt->target.id, now);
+        [[fallthrough]];
     case AttemptFailure::NotSent: {
         const TargetId target = m_attempt->target.id;
         m_triedTargets.erase(target);
-        m_context.crashes.recordTargetDown(target, now);
         endAttempt(AttemptResult::Unreachable, now);
         logDecision(actions, "request not sent", "target=" + target.value() + " why=" + detail);
         if (++m_connectFailures < MAX_CONNECT_FAILURES && now + MIN_USEFUL_TIME < m_request.endsAt()) {
@@ -245,7 +259,10 @@
         break;
     }
     case AttemptFailure::ConnectionLost:
-        m_context.crashes.recordConnectionLoss(m_request.fingerprint, m_attempt->target.id, now);
+        m_context.crashes.recordConnectionLoss(m_request.fingerprint, m_attempt->target, now);
+        onResponseLost(GiveUpCause::IncompleteResponse, detail, actions, now);
+        break;
+    case AttemptFailure::Unresponsive:
         onResponseLost(GiveUpCause::IncompleteResponse, detail, actions, now);
         break;
     case AttemptFailure::InvalidResponse:
@@ -418,6 +435,11 @@
 
 void RelayMachine::send(RelayActions &actions, MonotonicTime now)
 {
+    // The request may have been banned while its stages ran, or by its last attempt.
+    if (isStopped(now)) {
+        fallBackOrGiveUp(GiveUpCause::Banned, banDetail(), RETRY_BANNED, actions);
+        return;
+    }
     // The stage results were freed once the previous target had fetched them, but another target needs them again.
     if (std::exchange(m_inputsFreed, false)) {
         restartStages(actions, now);
@@ -542,12 +564,32 @@
     return most == counts.end() ? std::nullopt : std::optional(most->first);
 }
 
+bool RelayMachine::isStopped(MonotonicTime now) const
+{
+    return m_isTrial ? !m_triedTargets.empty() : m_context.crashes.isBanned(m_request.fingerprint, now);
+}
+
+std::string RelayMachine::banDetail() const
+{
+    return "fingerprint=" + hexText(m_request.fingerprint.value())
+        + " crashes=" + std::to_string(m_context.crashes.crashCount(m_request.fingerprint));
+}
+
 bool RelayMachine::tryAcquireRetry(MonotonicTime now)
 {
     return m_triedTargets.size() < static_cast<std::size_t>(m_request.route->maxAttempts) && now + MIN_USEFUL_TIME < m_request.endsAt()
         && m_context.retries.tryConsume(m_request.service, m_context.vmCount, now);
 }
 
+void RelayMachine::recordCompletion(const ResponseHead &head, const TargetRecord &target, MonotonicTime now)
+{
+    if (head.hasOpenEnd) {
+        m_context.crashes.recordOpenEnd(m_request.fingerprint, target, now);
+    } else {
+        m_context.crashes.recordCompletion(m_request.fingerprint, now);
+    }
+}
+
 void RelayMachine::endAttempt(AttemptResult result, MonotonicTime now)
 {
     m_context.targets.finishAttempt(m_attempt->target.id, result, m_attempt->pendingPromptTokens, now);
@@ -583,6 +625,9 @@
     std::string body = std::move(m_attempt->body);
     const bool isFailure = head.status >= STATUS_SERVER_ERROR;
     m_context.targets.addLatencySample(m_attempt->target.id, now - m_attempt->sentAt);
+    if (!isFailure) {
+        recordCompletion(head, m_attempt->target, now);
+    }
     endAttempt(isFailure ? AttemptResult::Errored : AttemptResult::Succeeded, now);
     m_runState = RunState::MayHaveRun;
     if (isFailure && m_request.route->isRepeatable() && tryAcquireRetry(now)) {
@@ -591,9 +636,6 @@
         send(actions, now);
         return;
     }
-    if (!isFailure) {
-        m_context.crashes.recordCompletion(m_request.fingerprint);
-    }
     finish(ForwardResponse { std::move(head), std::move(body) }, actions);
 }
 
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -26,7 +26,9 @@
 /** Why an attempt ended without a complete response. */
 enum class AttemptFailure {
     NotSent,        ///< no byte of the request was written
-    ConnectionLost, ///< the connection was lost after part of the request was written
+    Refused,        ///< nothing listens at the address of the target; no byte of the request was written
+    ConnectionLost, ///< the target closed the connection after part of the request was written
+    Unresponsive,   ///< the connection was given up because nothing came from the other end; part of the request was written
     TimedOut,       ///< no response in time
     InvalidResponse,
 };
@@ -94,7 +96,11 @@
     std::optional<FailureDomain> preferredDomainFor(std::size_t stage, MonotonicTime now);
     std::optional<FailureDomain> inputDomain() const;
     std::optional<FailureDomain> mostCommonDomain(const std::vector<StageResult> &results) const;
+    /** Whether the request must not be sent to a target any more because it has crashed targets. */
+    bool isStopped(MonotonicTime now) const;
+    std::string banDetail() const;
     bool tryAcquireRetry(MonotonicTime now);
+    void recordCompletion(const ResponseHead &head, const TargetRecord &target, MonotonicTime now);
     void endAttempt(AttemptResult result, MonotonicTime now);
     void onEvents(RelayActions &actions, MonotonicTime now);
     void onCompleteResponse(RelayActions &actions, MonotonicTime now);
@@ -123,6 +129,7 @@
     std::optional<std::string> m_softwareVersion; ///< version of all targets of a resumable stream, once the first one is chosen
     std::optional<TargetId> m_permitTarget;       ///< target for which permits were requested, until a target is chosen
     bool m_inputsFreed = false;                   ///< the stage results were freed at the first event
+    bool m_isTrial = false;                       ///< banned, and let through to a single target
     bool m_streamStarted = false;
     bool m_finished = false;
 };
--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -239,7 +239,9 @@
         m_stream->expires_at(std::min(m_request.deadline, std::chrono::steady_clock::now() + m_request.connectTimeout));
         m_stream->async_connect(tcp::endpoint(address, m_request.port), [self = shared_from_this()](const error_code &result) {
             if (result) {
-                self->fail(CallFailure::NotSent, "cannot connect to " + self->m_server + ": " + result.message());
+                const bool isRefused = result == boost::asio::error::connection_refused;
+                self->fail(isRefused ? CallFailure::Refused : CallFailure::NotSent,
+                           "cannot connect to " + self->m_server + ": " + result.message());
                 return;
             }
             error_code ignored;
@@ -313,7 +315,7 @@
             return;
         }
         if (m_handlers.onHead) {
-            m_handlers.onHead({ m_parser->get().result_int(), m_parser->get().base() });
+            m_handlers.onHead({ m_parser->get().result_int(), m_parser->get().base(), m_parser->need_eof() });
         }
         readBody();
     }
@@ -408,7 +410,10 @@
             fail(CallFailure::Malformed, m_server + " sent what is not HTTP: " + error.message());
             return;
         }
-        fail(CallFailure::ConnectionLost, "connection to " + m_server + " lost: " + error.message());
+        const bool isUnresponsive = error == boost::asio::error::timed_out || error == boost::asio::error::host_unreachable
+            || error == boost::asio::error::network_unreachable;
+        fail(isUnresponsive ? CallFailure::Unresponsive : CallFailure::ConnectionLost,
+             "connection to " + m_server + " lost: " + error.message());
     }
 
     void fail(CallFailure failure, const std::string &detail)
--- a/src/libs/net/httpclient.h
+++ b/src/libs/net/httpclient.h
@@ -49,7 +49,9 @@
 /** Why a call ended without a whole response. */
 enum class CallFailure {
     NotSent, ///< no byte of the request has left
+    Refused, ///< nothing listens at the address; no byte of the request has left
     ConnectionLost,
+    Unresponsive, ///< nothing came from the server, not even acknowledgements
     TimedOut,
     Malformed, ///< not HTTP, or the response to another request
 };
@@ -58,6 +60,7 @@
 struct HttpCallHead {
     unsigned status = 0;
     boost::beast::http::fields fields;
+    bool hasOpenEnd = false; ///< the body has neither a length nor chunks and ends with the connection
 };
 
 /** Called on the strand of the call; none is called after onFinished, onFailed or cancel. */
--- a/src/libs/net/targetclient.cpp
+++ b/src/libs/net/targetclient.cpp
@@ -21,8 +21,10 @@
 {
     switch (failure) {
     case CallFailure::NotSent:
+    case CallFailure::Refused:
         return AttemptOutcome::Unreachable;
     case CallFailure::ConnectionLost:
+    case CallFailure::Unresponsive:
         return AttemptOutcome::ConnectionLost;
     case CallFailure::TimedOut:
         return AttemptOutcome::TimedOut;
--- a/tests/auto/gateway/crashsimulation.cpp
+++ b/tests/auto/gateway/crashsimulation.cpp
@@ -8,6 +8,7 @@
 using std::chrono::seconds;
 
 constexpr milliseconds STEP { 10 };
+constexpr milliseconds EXPIRY_INTERVAL { 300 };
 constexpr milliseconds NETWORK_TIME { 2 };
 constexpr milliseconds TIME_TO_HEAD { 30 };
 constexpr milliseconds RUN_TIME { 600 };
@@ -45,8 +46,7 @@
     , m_fleet(
           vmCount,
           [this](int from, int to) {
-              m_vms[static_cast<std::size_t>(to)]->crashes.merge(
-                  SimulatedFleet::vmId(from), m_vms[static_cast<std::size_t>(from)]->crashes.localCounts(m_now), m_now);
+              m_vms[static_cast<std::size_t>(to)]->crashes.merge(m_vms[static_cast<std::size_t>(from)]->crashes.reports(m_now), m_now);
           },
           m_now)
 {
@@ -100,11 +100,8 @@
 void CrashSimulation::resetConnections()
 {
     for (Slot &slot : m_slots) {
-        for (const auto &attempt : std::exchange(slot.running, {})) {
-            const AttemptNumber number = attempt.second;
-            deliver(attempt.first, NETWORK_TIME, [this, number](RelayMachine &machine) {
-                return machine.onFailed(number, AttemptFailure::ConnectionLost, "reset", m_now);
-            });
+        for (const auto &[attempt, run] : std::exchange(slot.running, {})) {
+            breakOff(attempt.first, attempt.second, {});
         }
     }
 }
@@ -120,8 +117,10 @@
             event();
         }
         m_fleet.exchangeGreetings(m_now);
-        for (const std::shared_ptr<Vm> &vm : m_vms) {
-            vm->crashes.removeExpired(m_now);
+        for (std::size_t vm = 0; vm < m_vms.size() && (m_now - Samples::START) % EXPIRY_INTERVAL == Duration::zero(); ++vm) {
+            if (m_fleet.isRunning(static_cast<int>(vm))) {
+                m_vms[vm]->crashes.expire(m_now);
+            }
         }
     }
 }
@@ -134,12 +133,24 @@
 void CrashSimulation::kill(int vm)
 {
     m_fleet.kill(vm);
+    disturb(vm);
 }
 
 void CrashSimulation::start(int vm)
 {
     m_fleet.start(vm);
     m_vms.at(static_cast<std::size_t>(vm)) = makeVm(vm);
+    disturb(vm);
+}
+
+void CrashSimulation::disturb(int vm)
+{
+    m_disturbedAt[vm] = m_now;
+}
+
+void CrashSimulation::makeSoundRequestsAlike()
+{
+    m_isSoundAlike = true;
 }
 
 int CrashSimulation::crashes() const
@@ -195,7 +206,7 @@
 {
     const Duration pause = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / m_soundRate));
     schedule(pause, [this] {
-        send(false, "sound " + std::to_string(m_numbers));
+        send(false, m_isSoundAlike ? "sound" : "sound " + std::to_string(m_numbers));
         sendSound();
     });
 }
@@ -261,7 +272,7 @@
     Slot &receiver = m_slots[slot];
     if (!receiver.isUp) {
         deliver(job, NETWORK_TIME, [this, attempt](RelayMachine &machine) {
-            return machine.onFailed(attempt, AttemptFailure::NotSent, "Connection refused", m_now);
+            return machine.onFailed(attempt, AttemptFailure::Refused, "Connection refused", m_now);
         });
         return;
     }
@@ -275,17 +286,19 @@
         });
         return;
     }
-    if (job->isBad) {
+    const auto disturbed = m_disturbedAt.find(job->vmNumber);
+    if (job->isBad && (disturbed == m_disturbedAt.end() || disturbed->second + TIME_IN_TOUCH < m_now)) {
         m_arrivals.push_back(m_now);
     }
-    receiver.running.emplace(job, attempt);
+    receiver.running[{ job, attempt }] = { false, m_random() % 3 == 0 };
     schedule(TIME_TO_HEAD, [this, job, attempt, slot, incarnation = receiver.incarnation] { begin(job, attempt, slot, incarnation); });
 }
 
 // A bad request crashes the target before the head, or after it.
 void CrashSimulation::begin(const JobPointer &job, AttemptNumber attempt, std::size_t slot, int incarnation)
 {
-    if (m_slots[slot].incarnation != incarnation || m_slots[slot].running.count({ job, attempt }) == 0) {
+    const auto running = m_slots[slot].running.find({ job, attempt });
+    if (m_slots[slot].incarnation != incarnation || running == m_slots[slot].running.end()) {
         return;
     }
     if (job->isBad && m_random() % 2 == 0) {
@@ -293,10 +306,12 @@
         crash(slot);
         return;
     }
-    deliver(job, NETWORK_TIME, [this, attempt](RelayMachine &machine) {
+    running->second.hasBegun = true;
+    deliver(job, NETWORK_TIME, [this, attempt, hasOpenEnd = running->second.hasOpenEnd](RelayMachine &machine) {
         ResponseHead head;
         head.status = 200;
         head.isStamped = true;
+        head.hasOpenEnd = hasOpenEnd;
         RelayActions actions = machine.onHead(attempt, head, m_now);
         const RelayActions more = machine.onBody(attempt, "id: 1\ndata: a\n\n", m_now);
         actions.insert(actions.end(), more.begin(), more.end());
@@ -327,11 +342,8 @@
     }
     slot.isUp = false;
     ++slot.incarnation;
-    for (const auto &attempt : std::exchange(slot.running, {})) {
-        const AttemptNumber failed = attempt.second;
-        deliver(attempt.first, NETWORK_TIME, [this, failed](RelayMachine &machine) {
-            return machine.onFailed(failed, AttemptFailure::ConnectionLost, "partial message", m_now);
-        });
+    for (const auto &[attempt, run] : std::exchange(slot.running, {})) {
+        breakOff(attempt.first, attempt.second, run);
     }
     const TargetReturn way = m_returns[m_random() % m_returns.size()];
     const auto between = [this](milliseconds low, milliseconds high) {
@@ -350,10 +362,29 @@
     schedule(listedAfter, [this, number, gone = slot.record] { publish(number, gone); });
 }
 
+// Without length or chunks, only a part of an event shows that the response is not complete; a bad request may end without one.
+void CrashSimulation::breakOff(const JobPointer &job, AttemptNumber attempt, Run run)
+{
+    const bool isWithinEvent = !job->isBad || m_random() % 2 == 0;
+    deliver(job, NETWORK_TIME, [this, attempt, run, isWithinEvent](RelayMachine &machine) {
+        if (!run.hasBegun || !run.hasOpenEnd) {
+            return machine.onFailed(attempt, AttemptFailure::ConnectionLost, "partial message", m_now);
+        }
+        if (isWithinEvent) {
+            machine.onBody(attempt, "id: ", m_now);
+        }
+        return machine.onFinished(attempt, m_now);
+    });
+}
+
 void CrashSimulation::publish(std::size_t slot, const TargetRecord &gone)
 {
     for (const std::shared_ptr<Vm> &vm : m_vms) {
-        vm->crashes.recordTargetDown(gone.id, m_now);
+        if (m_slots[slot].record.id == gone.id) {
+            vm->crashes.recordTargetRestarted(gone.id, m_now);
+        } else {
+            vm->crashes.recordTargetGone(gone.id, m_now);
+        }
         if (m_slots[slot].record.id != gone.id) {
             vm->targets.remove(gone.id);
         }
@@ -364,6 +395,7 @@
 std::shared_ptr<CrashSimulation::Vm> CrashSimulation::makeVm(int vm)
 {
     auto made = std::make_shared<Vm>(vm);
+    made->crashes.setOwnerFunction([this, vm](Fingerprint fingerprint) { return m_fleet.members(vm).owns(fingerprint.value()); });
     for (const Slot &slot : m_slots) {
         made->targets.put(slot.record, m_now);
     }
--- a/tests/auto/gateway/crashsimulation.h
+++ b/tests/auto/gateway/crashsimulation.h
@@ -4,7 +4,6 @@
 
 #include <map>
 #include <random>
-#include <set>
 
 namespace CassiaRelay::Gateway {
 
@@ -36,9 +35,13 @@
     SimulatedFleet &fleet();
     void kill(int vm);
     void start(int vm);
+    /** Arrivals that this daemon sends do not count until it has been undisturbed for 3 s. */
+    void disturb(int vm);
+    /** All sound requests have the same body from now on. */
+    void makeSoundRequestsAlike();
 
     int crashes() const;
-    /** Bad requests that reached a target later than 3 s after so many crashes by them. */
+    /** Bad requests that undisturbed daemons sent to targets later than 3 s after so many crashes by them. */
     int lateArrivals(std::size_t crashes) const;
     /** Share of the sound requests sent since then that got a response. */
     double soundBegun(MonotonicTime since) const;
@@ -48,12 +51,17 @@
     struct Vm;
     struct Job;
     using JobPointer = std::shared_ptr<Job>;
+    /** A request that a target runs. */
+    struct Run {
+        bool hasBegun = false;   ///< the head of the response has been sent
+        bool hasOpenEnd = false; ///< the response has neither a length nor chunks
+    };
     /** An address at which one target after the other listens. */
     struct Slot {
         TargetRecord record;
         int incarnation = 0;
         bool isUp = true;
-        std::set<std::pair<JobPointer, AttemptNumber>> running;
+        std::map<std::pair<JobPointer, AttemptNumber>, Run> running;
     };
 
     void schedule(Duration delay, std::function<void()> event);
@@ -67,6 +75,8 @@
     void begin(const JobPointer &job, AttemptNumber attempt, std::size_t slot, int incarnation);
     void end(const JobPointer &job, AttemptNumber attempt, std::size_t slot, int incarnation);
     void crash(std::size_t slot);
+    /** The target closes the connection before the response is complete. */
+    void breakOff(const JobPointer &job, AttemptNumber attempt, Run run);
     void publish(std::size_t slot, const TargetRecord &gone);
     std::shared_ptr<Vm> makeVm(int vm);
 
@@ -76,12 +86,14 @@
     std::vector<TargetReturn> m_returns { TargetReturn::Late };
     std::vector<Slot> m_slots;
     std::vector<std::shared_ptr<Vm>> m_vms;
+    std::map<int, MonotonicTime> m_disturbedAt; ///< by daemon
     SimulatedFleet m_fleet;
     RouteTablePointer m_table;
     double m_soundRate = 60;
     Duration m_minPause {};
     Duration m_maxPause {};
     bool m_sendsBad = false;
+    bool m_isSoundAlike = false;
     int m_numbers = 0;
     std::vector<MonotonicTime> m_crashes;       ///< by bad requests
     std::vector<MonotonicTime> m_arrivals;      ///< of bad requests
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -457,6 +457,43 @@
     BOOST_TEST(find<FreeResults>(events)->results.front().handle == "handle");
 }
 
+// The ban was looked up when the request arrived, and the request was sent after its stages.
+BOOST_AUTO_TEST_CASE(requestBannedDuringItsStagesIsNotSent)
+{
+    Fixture fixture;
+    Route staged = route(RouteKind::Stream);
+    staged.stages = { { ServiceName("stage"), {}, 1000 } };
+    RelayMachine machine = fixture.machine(staged, { 1 });
+    machine.start(START);
+    for (const char *id : { "x", "y" }) {
+        fixture.crashes.recordConnectionLoss(machine.request().fingerprint, target(id, "engine"), START);
+        fixture.crashes.recordTargetGone(TargetId(id), START);
+    }
+    const RelayActions last = machine.onStageFinished(0, { { 0, StageResult { "handle", TargetId("maker") } } }, START);
+    BOOST_TEST(!find<SendRequest>(last));
+    BOOST_REQUIRE(find<RefuseRequest>(last));
+    BOOST_TEST(find<RefuseRequest>(last)->status == 503U);
+}
+
+// Without length or chunks, the end of the connection within an event, or before the first one, was no sign of a crash.
+BOOST_AUTO_TEST_CASE(streamCutOffAtItsOpenEndCountsAsCrash)
+{
+    for (const std::string received : { "", "id: 1\ndata: a\n\nid: " }) {
+        Fixture fixture;
+        RelayMachine machine = fixture.machine(route(RouteKind::Stream));
+        const RelayActions first = machine.start(START);
+        ResponseHead openEnd = head(200);
+        openEnd.hasOpenEnd = true;
+        machine.onHead(sentAttempt(first), openEnd, START);
+        machine.onBody(sentAttempt(first), received, START);
+        const RelayActions last = machine.onFinished(sentAttempt(first), START);
+        BOOST_TEST(!find<EndStream>(last));
+        BOOST_TEST(!find<ForwardResponse>(last));
+        fixture.crashes.recordTargetGone(find<SendRequest>(first)->target.id, START);
+        BOOST_TEST(fixture.crashes.crashCount(machine.request().fingerprint) == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(lostInputsAreRecomputedOnce)
 {
     Fixture fixture;
--- a/tests/auto/gateway/tst_requestpolicies.cpp
+++ b/tests/auto/gateway/tst_requestpolicies.cpp
@@ -43,16 +43,17 @@
     CrashTracker crashes;
     const Fingerprint crashing(1);
     const Fingerprint bystander(2);
-    crashes.recordConnectionLoss(crashing, TargetId("a"), START);
-    crashes.recordConnectionLoss(bystander, TargetId("a"), START);
-    crashes.recordTargetDown(TargetId("a"), START + milliseconds(10));
+    crashes.recordConnectionLoss(crashing, target("a", "engine"), START);
+    crashes.recordConnectionLoss(bystander, target("a", "engine"), START);
+    crashes.recordTargetGone(TargetId("a"), START + milliseconds(10));
     BOOST_TEST(!crashes.isBanned(crashing, START + seconds(1)));
-    crashes.recordCompletion(bystander);
-    crashes.recordConnectionLoss(crashing, TargetId("b"), START + seconds(2));
-    crashes.recordTargetDown(TargetId("b"), START + seconds(2));
+    crashes.recordCompletion(bystander, START + seconds(1));
+    crashes.recordConnectionLoss(crashing, target("b", "engine"), START + seconds(2));
+    crashes.recordTargetGone(TargetId("b"), START + seconds(2));
     BOOST_TEST(crashes.isBanned(crashing, START + seconds(3)));
     BOOST_TEST(!crashes.isBanned(bystander, START + seconds(3)));
-    BOOST_TEST(!crashes.isBanned(crashing, START + seconds(90)));
+    BOOST_TEST(crashes.isBanned(crashing, START + seconds(90)));
+    BOOST_TEST(!crashes.isBanned(crashing, START + std::chrono::minutes(20)));
 }
 
 // Connection resets by targets that have not crashed must not lead to a ban of the request.
@@ -60,7 +61,9 @@
 {
     CrashTracker crashes;
     for (int round = 0; round < 10; ++round) {
-        crashes.recordConnectionLoss(Fingerprint(1), TargetId("a"), START + seconds(round));
+        crashes.recordConnectionLoss(Fingerprint(1), target("a", "engine"), START + seconds(round));
+        crashes.recordResponse(TargetId("a"), START + seconds(round) + milliseconds(100));
+        crashes.expire(START + seconds(round) + milliseconds(900));
     }
     BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + seconds(10)));
 }
@@ -68,15 +71,97 @@
 BOOST_AUTO_TEST_CASE(copiesOnOneTargetCountOnceAndCountsOfDaemonsAreSummed)
 {
     CrashTracker crashes;
+    CrashTracker other;
     for (int copy = 0; copy < 5; ++copy) {
-        crashes.recordConnectionLoss(Fingerprint(1), TargetId("a"), START);
+        crashes.recordConnectionLoss(Fingerprint(1), target("a", "engine"), START);
     }
-    crashes.recordTargetDown(TargetId("a"), START);
+    other.recordConnectionLoss(Fingerprint(1), target("a", "engine"), START);
+    crashes.recordTargetGone(TargetId("a"), START);
+    other.recordTargetGone(TargetId("a"), START);
+    crashes.merge(other.reports(START), START);
     BOOST_TEST(!crashes.isBanned(Fingerprint(1), START));
-    crashes.merge(VmId("other"), { { Fingerprint(1), 1 } }, START);
+    other.recordConnectionLoss(Fingerprint(1), target("b", "engine"), START);
+    other.recordTargetGone(TargetId("b"), START);
+    crashes.merge(other.reports(START), START);
     BOOST_TEST(crashes.isBanned(Fingerprint(1), START));
-    BOOST_REQUIRE_EQUAL(crashes.localCounts(START).size(), 1U);
-    BOOST_TEST(crashes.localCounts(START).front().crashes == 1);
+    BOOST_TEST(crashes.crashCount(Fingerprint(1)) == 2U);
+}
+
+// Nobody sent anything to the target in the time in which a crash was confirmed, so that the crash did not count.
+BOOST_AUTO_TEST_CASE(targetThatStaysSilentHasCrashed)
+{
+    CrashTracker crashes;
+    for (const char *id : { "a", "b" }) {
+        crashes.recordConnectionLoss(Fingerprint(1), target(id, "engine"), START);
+    }
+    crashes.expire(START + milliseconds(400));
+    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + milliseconds(400)));
+    crashes.expire(START + milliseconds(600));
+    BOOST_TEST(crashes.isBanned(Fingerprint(1), START + milliseconds(600)));
+}
+
+// The network resets connections to many targets at once; that these are silent afterwards shows nothing.
+BOOST_AUTO_TEST_CASE(resetOfAllConnectionsIsNoCrash)
+{
+    CrashTracker crashes;
+    for (int number = 0; number < 5; ++number) {
+        crashes.recordConnectionLoss(Fingerprint(1), target("t" + std::to_string(number), "engine"), START + milliseconds(number));
+    }
+    crashes.expire(START + seconds(1));
+    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + seconds(1)));
+}
+
+// A response without length or chunks that ended with its connection cleared the request that had crashed the target.
+BOOST_AUTO_TEST_CASE(openEndOfACrashedTargetIsNoCompletion)
+{
+    CrashTracker crashes;
+    for (const char *id : { "a", "b" }) {
+        crashes.recordOpenEnd(Fingerprint(1), target(id, "engine"), START);
+        crashes.recordTargetGone(TargetId(id), START + seconds(1));
+    }
+    BOOST_TEST(crashes.isBanned(Fingerprint(1), START + seconds(1)));
+    crashes.recordOpenEnd(Fingerprint(1), target("c", "engine"), START + seconds(2));
+    BOOST_TEST(crashes.isBanned(Fingerprint(1), START + seconds(2)));
+    crashes.recordResponse(TargetId("c"), START + seconds(3));
+    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + seconds(3)));
+}
+
+// A completion at one daemon lifts the ban at all, and the next greeting of another one does not bring it back.
+BOOST_AUTO_TEST_CASE(completionLiftsTheBanAtAllDaemons)
+{
+    CrashTracker crashes;
+    CrashTracker other;
+    for (const char *id : { "a", "b" }) {
+        crashes.recordConnectionLoss(Fingerprint(1), target(id, "engine"), START);
+        crashes.recordTargetGone(TargetId(id), START);
+    }
+    other.merge(crashes.reports(START), START);
+    BOOST_TEST(other.isBanned(Fingerprint(1), START));
+    crashes.recordCompletion(Fingerprint(1), START + seconds(1));
+    crashes.merge(other.reports(START + seconds(1)), START + seconds(1));
+    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + seconds(1)));
+    other.merge(crashes.reports(START + seconds(1)), START + seconds(1));
+    BOOST_TEST(!other.isBanned(Fingerprint(1), START + seconds(1)));
+}
+
+// A wrong ban would never end, because a request that is refused cannot complete.
+BOOST_AUTO_TEST_CASE(bannedRequestIsTriedAgainRarely)
+{
+    CrashTracker crashes;
+    for (const char *id : { "a", "b" }) {
+        crashes.recordConnectionLoss(Fingerprint(1), target(id, "engine"), START);
+        crashes.recordTargetGone(TargetId(id), START);
+    }
+    int trials = 0;
+    for (int second = 1; second <= 600; ++second) {
+        trials += crashes.admit(Fingerprint(1), START + seconds(second)) == Admission::Trial ? 1 : 0;
+    }
+    BOOST_TEST(trials >= 1);
+    BOOST_TEST(trials <= 3);
+    CrashTracker notOwner;
+    notOwner.setOwnerFunction([](Fingerprint) { return false; });
+    notOwner.merge(crashes.reports(START + seconds(600)), START + seconds(600));
+    BOOST_TEST((notOwner.admit(Fingerprint(1), START + seconds(900)) == Admission::Banned));
 }
 
 BOOST_AUTO_TEST_CASE(refusalStatusMatchesRunState)
--- a/tests/scenarios/crashloads.py
+++ b/tests/scenarios/crashloads.py
@@ -6,16 +6,15 @@
 import threading
 import time
 
-from gateways import EVENTS, judge, send_routed
+from gateways import judge, send_routed
 
 SHARED_PART = "5c1e07a2"
-PROMPT_TOKENS = 20
 
 
 class CrashLoad:
     """Bad requests at random daemons, and sound requests at a fixed rate beside them."""
 
-    bad_pause_s = (0.5, 2.5)
+    bad_pause_s = (0.1, 1.5)
     patience_ms = 6000
 
     def __init__(self, fleet, targets, route, sound_rate, seed=1):
@@ -80,9 +79,7 @@
         status = 0
         started = time.monotonic()
         try:
-            headers = {"X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": f"{PROMPT_TOKENS * len(parts)},{EVENTS}",
-                       "X-Cassiarelay-Prompt-Prefix": ",".join(f"{part}:{PROMPT_TOKENS}" for part in parts)}
-            send_routed(connection, self._route, request_id, prompt, patience_ms=self.patience_ms, more_headers=headers)
+            send_routed(connection, self._route, request_id, prompt, patience_ms=self.patience_ms, parts=parts)
             response = connection.getresponse()
             status = response.status
             end = judge(response, response.read().decode(), request_id, prompt)
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -18,6 +18,7 @@
 PATIENCE_MS = 10000
 REGION = "cap-vert"
 EVENTS = 16
+PART_TOKENS = 20  # of one part of a prompt
 RESULT_BYTES = 1000000
 ROOM = 10  # results of RESULT_BYTES that a target holds
 ROUTES = [
@@ -181,13 +182,16 @@
     return f"{zlib.crc32(request_id.encode()):08x}"
 
 
-def send_routed(connection, route, request_id, prompt, key=KEY, patience_ms=PATIENCE_MS, more_headers=()):
+def send_routed(connection, route, request_id, prompt, key=KEY, patience_ms=PATIENCE_MS, more_headers=(), parts=None):
     headers = {"Host": HOST, "X-Cassiarelay-Request-Id": request_id, "X-Cassiarelay-Deadline-Ms": str(patience_ms),
                "Authorization": f"Bearer {key}"}
     if route in PIECES_WANTED:
         headers.update({"X-Cassiarelay-Pieces": PIECES_WANTED[route], "X-Cassiarelay-Piece-Key": "7c1e07a291bd",
                         "X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": "100,16",
                         "X-Cassiarelay-Prompt-Prefix": f"{shared_part(request_id)}:80,91bd3f06:20"})
+    if parts:
+        headers.update({"X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": f"{PART_TOKENS * len(parts)},{EVENTS}",
+                        "X-Cassiarelay-Prompt-Prefix": ",".join(f"{part}:{PART_TOKENS}" for part in parts)})
     headers.update(more_headers)
     connection.request("POST", f"/{route}/x", json.dumps({"prompt": prompt}), headers)
 
