Reproduce requests with one prompt part that go on crashing targets

tst_badparts plays requests that share one part of their prompts, no two alike, beside sound ones that share the other parts, in virtual time.

--- a/tests/auto/gateway/crashsimulation.cpp
+++ b/tests/auto/gateway/crashsimulation.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds RUN_TIME { 600 };
 constexpr milliseconds TIME_IN_TOUCH { 3000 }; // stableWindowMs of the users
 constexpr int FIRST_PORT = 8000;
+constexpr int SHARED_TOPICS = 4;
 const ServiceName SERVICE("engine");
 
 } // namespace
@@ -77,6 +78,11 @@
     m_soundRate = perSecond;
 }
 
+void CrashSimulation::setBadParts(std::vector<std::string> parts)
+{
+    m_badParts = std::move(parts);
+}
+
 void CrashSimulation::startBadRequests(Duration minPause, Duration maxPause)
 {
     m_minPause = minPause;
@@ -206,7 +212,10 @@
 {
     const Duration pause = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / m_soundRate));
     schedule(pause, [this] {
-        send(false, m_isSoundAlike ? "sound" : "sound " + std::to_string(m_numbers));
+        const std::string number = std::to_string(m_numbers);
+        send(false,
+             m_isSoundAlike ? "sound" : "sound " + number,
+             { SHARED_PART, "topic-" + std::to_string(m_numbers % SHARED_TOPICS), "own-" + number });
         sendSound();
     });
 }
@@ -216,12 +225,14 @@
     if (!m_sendsBad) {
         return;
     }
-    send(true, "bad");
+    std::vector<std::string> parts = m_badParts;
+    parts.push_back("own-" + std::to_string(m_numbers));
+    send(true, m_badParts.empty() ? "bad" : "bad " + std::to_string(m_numbers), parts);
     const auto range = static_cast<std::uint64_t>((m_maxPause - m_minPause).count()) + 1;
     schedule(m_minPause + Duration(static_cast<Duration::rep>(m_random() % range)), [this] { sendBad(); });
 }
 
-void CrashSimulation::send(bool isBad, const std::string &body)
+void CrashSimulation::send(bool isBad, const std::string &body, const std::vector<std::string> &parts)
 {
     auto job = std::make_shared<Job>();
     job->vmNumber = static_cast<int>(m_random() % m_vms.size());
@@ -242,6 +253,9 @@
     request.deadline = m_now + seconds(8);
     request.timeoutAt = request.deadline;
     request.fingerprint = Fingerprint(stableHash(body));
+    for (const std::string &part : parts) {
+        request.prompt.parts.push_back({ part, 1 });
+    }
     job->machine = std::make_unique<RelayMachine>(std::move(request), job->vm->context);
     perform(job, job->machine->start(m_now));
 }
--- a/tests/auto/gateway/crashsimulation.h
+++ b/tests/auto/gateway/crashsimulation.h
@@ -23,6 +23,10 @@
     void setReturns(std::vector<TargetReturn> ways);
     /** @param perSecond sound requests of all callers */
     void setSoundRate(double perSecond);
+    /** Bad requests have these prompt parts and one of their own, and no two are alike; by default they are all the same request. */
+    void setBadParts(std::vector<std::string> parts);
+    /** The part that all sound requests begin with; they share one more part with every fourth one. */
+    static constexpr const char *SHARED_PART = "shared";
     /** Sends a bad request at a random daemon, again and again. */
     void startBadRequests(Duration minPause, Duration maxPause);
     void stopBadRequests();
@@ -69,7 +73,7 @@
     void deliver(const JobPointer &job, Duration delay, std::function<RelayActions(RelayMachine &)> event);
     void sendSound();
     void sendBad();
-    void send(bool isBad, const std::string &body);
+    void send(bool isBad, const std::string &body, const std::vector<std::string> &parts);
     void perform(const JobPointer &job, const RelayActions &actions);
     void arrive(const JobPointer &job, const SendRequest &action);
     void begin(const JobPointer &job, AttemptNumber attempt, std::size_t slot, int incarnation);
@@ -92,6 +96,7 @@
     double m_soundRate = 60;
     Duration m_minPause {};
     Duration m_maxPause {};
+    std::vector<std::string> m_badParts;
     bool m_sendsBad = false;
     bool m_isSoundAlike = false;
     int m_numbers = 0;
