--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -70,6 +70,17 @@
     return server;
 }
 
+std::string firstOf(const std::set<Fingerprint> &fingerprints)
+{
+    std::string text;
+    std::size_t count = 0;
+    for (auto fingerprint = fingerprints.begin(); fingerprint != fingerprints.end() && count < MAX_LOGGED_SUSPECTS;
+         ++fingerprint, ++count) {
+        text += (count == 0 ? "" : ",") + hexText(fingerprint->value());
+    }
+    return text;
+}
+
 Net::HttpResponse plainResponse(unsigned status, std::string body)
 {
     Net::HttpResponse response;
@@ -274,24 +285,24 @@
     const MonotonicTime now = std::chrono::steady_clock::now();
     const auto log = Overloaded {
         [this, now](const Gateway::CrashCounted &crash) {
-            std::string suspects;
-            for (std::size_t index = 0; index < std::min(crash.suspects.size(), MAX_LOGGED_SUSPECTS); ++index) {
-                suspects += (index == 0 ? "" : ",") + hexText(crash.suspects[index].value());
-            }
             m_log.write("crash counted",
                         { { "target", crash.target.value() },
                           { "evidence", std::string(toString(crash.evidence)) },
                           { "age_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - crash.at).count()) },
-                          { "requests", std::to_string(crash.suspects.size()) },
-                          { "fingerprints", suspects } },
+                          { "requests", std::to_string(crash.requests.size()) },
+                          { "fingerprints", firstOf(crash.requests) },
+                          { "parts", firstOf(crash.parts) } },
                         now);
         },
-        [this, now](const Gateway::RequestBanned &ban) {
-            m_log.write(
-                "request banned", { { "fingerprint", hexText(ban.fingerprint.value()) }, { "crashes", std::to_string(ban.crashes) } }, now);
+        [this, now](const Gateway::CrashBan &ban) {
+            m_log.write(ban.isPart ? "prompt part banned" : "request banned",
+                        { { "fingerprint", hexText(ban.fingerprint.value()) }, { "crashes", std::to_string(ban.crashes) } },
+                        now);
         },
         [this, now](const Gateway::BanLifted &ban) {
-            m_log.write("ban lifted", { { "fingerprint", hexText(ban.fingerprint.value()) } }, now);
+            m_log.write("ban lifted",
+                        { { "of", ban.isPart ? "prompt part" : "request" }, { "fingerprint", hexText(ban.fingerprint.value()) } },
+                        now);
         },
     };
     for (const Gateway::CrashEvent &event : m_crashes.takeEvents()) {
--- a/src/app/gateway/peergossip.cpp
+++ b/src/app/gateway/peergossip.cpp
@@ -26,6 +26,9 @@
 {
     Schema::SuspectReport message;
     message.fingerprint = static_cast<std::int64_t>(report.fingerprint.value());
+    if (report.isPart) {
+        message.part = true;
+    }
     for (const Gateway::SuspectReport::Crash &crash : report.crashes) {
         message.runs.push_back(static_cast<std::int64_t>(crash.run.value()));
         message.ageMs.push_back(toMilliseconds(crash.age));
@@ -45,6 +48,7 @@
 {
     Gateway::SuspectReport report;
     report.fingerprint = Fingerprint(static_cast<std::uint64_t>(message.fingerprint));
+    report.isPart = message.part.value_or(false);
     for (std::size_t index = 0; index < std::min(message.runs.size(), message.ageMs.size()); ++index) {
         report.crashes.push_back(
             { Gateway::TargetRun(static_cast<std::uint64_t>(message.runs[index])), std::chrono::milliseconds(message.ageMs[index]) });
--- a/src/libs/gateway/crashtracker.cpp
+++ b/src/libs/gateway/crashtracker.cpp
@@ -1,13 +1,17 @@
 #include "crashtracker.h"
 
 #include <algorithm>
-#include <set>
 
 namespace CassiaRelay::Gateway {
 
 namespace {
 
-constexpr std::size_t CRASHES_TO_BAN = 2;                // one target may crash by itself under a request, two in a row rarely do
+constexpr std::size_t CRASHES_TO_BAN = 2; // one target may crash by itself under a request, two in a row rarely do
+// Many requests share a part, so that it is on more targets that crash for other reasons.
+constexpr std::size_t CRASHES_TO_BAN_PART = 3;
+constexpr std::size_t CRASHES_TO_BAN_PROVEN_PART = 5; // requests with it have completed before
+// Crashes under a part besides those under a single request, which may be the cause itself.
+constexpr std::size_t CRASHES_BESIDES_ONE_REQUEST = 2;
 constexpr std::chrono::minutes RETENTION { 10 };         // longer than callers pause before they send such a request again
 constexpr std::chrono::milliseconds SILENCE { 500 };     // a sound target responds within this time, or it is confirmed to be gone
 constexpr std::chrono::seconds CONFIRMATION_TIME { 10 }; // the store tells of a lost target within five seconds
@@ -15,16 +19,19 @@
 constexpr std::chrono::milliseconds SAME_CRASH { 300 };
 // Connections to so many targets are lost at once when the network resets them, not when targets crash.
 constexpr std::size_t RESET_TARGETS = 3;
-constexpr std::chrono::milliseconds FRESH_TIME { 1000 }; // three rounds of greetings reach each of 380 daemons
-constexpr std::chrono::seconds CLEARED_RETENTION { 5 };  // longer than evidence is passed on
-constexpr std::chrono::seconds FIRST_TRIAL_DELAY { 30 }; // crashed targets are back by then
-constexpr int TRIAL_DELAY_FACTOR = 4;                    // three trials in ten minutes
-constexpr int MAX_TRIAL_DOUBLINGS = 4;
+constexpr std::chrono::milliseconds FRESH_TIME { 1000 };      // three rounds of greetings reach each of 380 daemons
+constexpr std::chrono::seconds CLEARED_RETENTION { 5 };       // longer than evidence is passed on
+constexpr std::chrono::seconds FIRST_TRIAL_DELAY { 30 };      // crashed targets are back by then
+constexpr std::chrono::seconds FIRST_PART_TRIAL_DELAY { 10 }; // a wrong ban of a part refuses the requests of many callers
+constexpr int TRIAL_DELAY_FACTOR = 4;                         // three trials in ten minutes
+constexpr int MAX_DELAY_INCREASES = 4;
 constexpr std::size_t MAX_LOSSES = 512;    // of one target
-constexpr std::size_t MAX_SUSPECTS = 4096; // a crash of one engine adds at most one per slot
-constexpr std::size_t MAX_REPORTS = 128;   // in a greeting, about 10 kB
+constexpr std::size_t MAX_SUSPECTS = 4096; // a crash of one engine adds a few per slot
+constexpr std::size_t MAX_COMPLETED_PARTS = 8192;
+constexpr std::chrono::minutes COMPLETED_PART_RETENTION { 1 }; // once there are too many; the parts in use complete more often
+constexpr std::size_t MAX_REPORTS = 128;                       // in a greeting, about 10 kB
 constexpr std::size_t MAX_BAN_REPORTS = 64;
-constexpr std::size_t MAX_REPORTED_CRASHES = 8; // of one request; more do not change the decision
+constexpr std::size_t MAX_REPORTED_CRASHES = 8; // of one request or part; more do not change the decision
 constexpr std::size_t MAX_EVENTS = 256;
 
 } // namespace
@@ -34,17 +41,17 @@
     m_isOwner = std::move(isOwner);
 }
 
-void CrashTracker::recordConnectionLoss(Fingerprint fingerprint, const TargetRecord &target, MonotonicTime now)
+void CrashTracker::recordConnectionLoss(const CrashSuspects &suspects, const TargetRecord &target, MonotonicTime now)
 {
-    addLoss(target, { fingerprint, now });
+    addLoss(target, { suspects, now });
 }
 
-void CrashTracker::recordOpenEnd(Fingerprint fingerprint, const TargetRecord &target, MonotonicTime now)
+void CrashTracker::recordOpenEnd(const CrashSuspects &suspects, const TargetRecord &target, MonotonicTime now)
 {
-    addLoss(target, { fingerprint, now, true });
+    addLoss(target, { suspects, now, true });
 }
 
-void CrashTracker::recordResponse(const TargetId &target, MonotonicTime sentAt)
+void CrashTracker::recordResponse(const TargetId &target, MonotonicTime sentAt, MonotonicTime now)
 {
     const auto found = m_losses.find(target);
     if (found == m_losses.end()) {
@@ -54,58 +61,87 @@
     for (Loss &loss : losses) {
         loss.isAnswered = loss.isAnswered || loss.at < sentAt;
         if (loss.isAnswered && loss.isOpenEnd) {
-            recordCompletion(loss.fingerprint, loss.at);
+            recordCompletion(loss.suspects, loss.at);
         }
     }
     const auto isComplete = [](const Loss &loss) { return loss.isAnswered && loss.isOpenEnd; };
     losses.erase(std::remove_if(losses.begin(), losses.end(), isComplete), losses.end());
+    decide(now);
 }
 
 void CrashTracker::recordTargetGone(const TargetId &target, MonotonicTime now)
 {
     countCrash(target, CrashEvidence::Gone, now);
+    decide(now);
 }
 
 void CrashTracker::recordTargetRestarted(const TargetId &target, MonotonicTime now)
 {
     countCrash(target, CrashEvidence::Restarted, now);
+    decide(now);
 }
 
-void CrashTracker::recordCompletion(Fingerprint fingerprint, MonotonicTime now)
+void CrashTracker::recordCompletion(const CrashSuspects &suspects, MonotonicTime now)
 {
-    const auto found = m_suspects.find(fingerprint);
-    if (found != m_suspects.end()) {
-        applyCompletion(fingerprint, found->second, now, now);
+    const auto clear = [this, now](Fingerprint fingerprint) {
+        const auto found = m_suspects.find(fingerprint);
+        if (found != m_suspects.end()) {
+            applyCompletion(found->second, now, now);
+        }
+    };
+    clear(suspects.request);
+    for (const Fingerprint &part : suspects.parts) {
+        m_completedParts[part] = now;
+        clear(part);
     }
+    decide(now);
 }
 
-Admission CrashTracker::admit(Fingerprint fingerprint, MonotonicTime now)
+Admission CrashTracker::admit(const CrashSuspects &suspects, MonotonicTime now)
 {
-    if (!isBanned(fingerprint, now)) {
+    std::vector<Suspect *> banned;
+    bool isTrial = true;
+    const auto check = [&](Fingerprint fingerprint) {
+        if (!findBan(fingerprint, suspects, now)) {
+            return;
+        }
+        Suspect &suspect = m_suspects.at(fingerprint);
+        banned.push_back(&suspect);
+        isTrial = isTrialDue(fingerprint, suspect, now) && isTrial;
+        suspect.seenAt = now;
+    };
+    check(suspects.request);
+    std::for_each(suspects.parts.begin(), suspects.parts.end(), check);
+    if (banned.empty()) {
         return Admission::Allowed;
     }
-    Suspect &banned = m_suspects.at(fingerprint);
-    banned.seenAt = now;
-    const auto latestCrash = std::max_element(
-        banned.crashes.begin(), banned.crashes.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
-    Duration delay = FIRST_TRIAL_DELAY;
-    for (int trial = 0; trial < std::min(banned.trials, MAX_TRIAL_DOUBLINGS); ++trial) {
-        delay *= TRIAL_DELAY_FACTOR;
-    }
-    if (std::max(latestCrash->second, banned.trialAt.value_or(latestCrash->second)) + delay > now
-        || (m_isOwner && !m_isOwner(fingerprint))) {
+    if (!isTrial) {
         return Admission::Banned;
     }
-    ++banned.trials;
-    banned.trialAt = now;
-    banned.changedAt = now;
+    for (Suspect *suspect : banned) {
+        ++suspect->trials;
+        suspect->trialAt = now;
+        suspect->changedAt = now;
+    }
     return Admission::Trial;
 }
 
-bool CrashTracker::isBanned(Fingerprint fingerprint, MonotonicTime now) const
+bool CrashTracker::isBanned(const CrashSuspects &suspects, MonotonicTime now) const
 {
-    const auto found = m_suspects.find(fingerprint);
-    return found != m_suspects.end() && isBanned(found->second, now);
+    return findBan(suspects, now).has_value();
+}
+
+std::optional<CrashBan> CrashTracker::findBan(const CrashSuspects &suspects, MonotonicTime now) const
+{
+    const auto find = [this, &suspects, now](Fingerprint fingerprint) -> std::optional<CrashBan> {
+        const Suspect *banned = findBan(fingerprint, suspects, now);
+        return banned ? std::optional(CrashBan { fingerprint, banned->isPart, banned->crashes.size() }) : std::nullopt;
+    };
+    std::optional<CrashBan> ban = find(suspects.request);
+    for (auto part = suspects.parts.begin(); part != suspects.parts.end() && !ban; ++part) {
+        ban = find(*part);
+    }
+    return ban;
 }
 
 std::size_t CrashTracker::crashCount(Fingerprint fingerprint) const
@@ -117,7 +153,6 @@
 // Bans go into each greeting, so that a daemon that has started or was cut off knows them at once.
 std::vector<SuspectReport> CrashTracker::reports(MonotonicTime now) const
 {
-    using Entry = std::unordered_map<Fingerprint, Suspect>::value_type;
     std::vector<const Entry *> banned;
     std::vector<const Entry *> fresh;
     for (const Entry &entry : m_suspects) {
@@ -127,9 +162,10 @@
             fresh.push_back(&entry);
         }
     }
+    // Parts come first: a ban of a part stops more requests.
     const auto keepNewest = [](std::vector<const Entry *> &entries, std::size_t count, MonotonicTime Suspect::*time) {
         std::sort(entries.begin(), entries.end(), [time](const Entry *left, const Entry *right) {
-            return left->second.*time > right->second.*time;
+            return std::tie(left->second.isPart, left->second.*time) > std::tie(right->second.isPart, right->second.*time);
         });
         entries.resize(std::min(entries.size(), count));
     };
@@ -150,9 +186,9 @@
         if (m_suspects.count(report.fingerprint) == 0 && report.crashes.empty()) {
             continue;
         }
-        Suspect &known = suspect(report.fingerprint, now);
+        Suspect &known = suspect(report.fingerprint, report.isPart, now);
         if (report.completedAge && known.completedAt.value_or(MonotonicTime::min()) < now - *report.completedAge) {
-            applyCompletion(report.fingerprint, known, now - *report.completedAge, now);
+            applyCompletion(known, now - *report.completedAge, now);
         }
         known.seenAt = std::max(known.seenAt, now - report.seenAge);
         if (known.trials < report.trials && report.trialAge) {
@@ -160,10 +196,11 @@
             known.trialAt = now - *report.trialAge;
         }
         for (const SuspectReport::Crash &crash : report.crashes) {
-            addCrash(report.fingerprint, crash.run, now - crash.age, now);
+            addCrash(report.fingerprint, report.isPart, crash.run, now - crash.age, now);
             countReportedCrash(crash.run, now);
         }
     }
+    decide(now);
 }
 
 void CrashTracker::expire(MonotonicTime now)
@@ -180,6 +217,8 @@
         const MonotonicTime end = isCleared ? suspect.changedAt + CLEARED_RETENTION : suspect.seenAt + RETENTION;
         entry = end <= now ? m_suspects.erase(entry) : std::next(entry);
     }
+    forgetCompletedParts(now);
+    decide(now);
 }
 
 std::vector<CrashEvent> CrashTracker::takeEvents()
@@ -194,7 +233,28 @@
 
 bool CrashTracker::isBanned(const Suspect &suspect, MonotonicTime now)
 {
-    return suspect.crashes.size() >= CRASHES_TO_BAN && suspect.seenAt + RETENTION > now;
+    return suspect.isBanned && suspect.seenAt + RETENTION > now;
+}
+
+const CrashTracker::Suspect *CrashTracker::findBan(Fingerprint fingerprint, const CrashSuspects &request, MonotonicTime now) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end() || !isBanned(found->second, now)) {
+        return nullptr;
+    }
+    const std::vector<Fingerprint> &others = found->second.inseparable;
+    const bool isWhole = std::all_of(others.begin(), others.end(), [&request](Fingerprint other) {
+        return std::find(request.parts.begin(), request.parts.end(), other) != request.parts.end();
+    });
+    return isWhole ? &found->second : nullptr;
+}
+
+std::size_t CrashTracker::crashesToBan(const Suspect &suspect)
+{
+    if (!suspect.isPart) {
+        return CRASHES_TO_BAN;
+    }
+    return suspect.completedAt ? CRASHES_TO_BAN_PROVEN_PART : CRASHES_TO_BAN_PART;
 }
 
 bool CrashTracker::isExpired(const Loss &loss, MonotonicTime now)
@@ -212,7 +272,7 @@
     TargetLosses &losses = m_losses[target.id];
     losses.run = run;
     if (losses.losses.size() < MAX_LOSSES) {
-        losses.losses.push_back(loss);
+        losses.losses.push_back(std::move(loss));
     }
 }
 
@@ -225,19 +285,21 @@
     }
     const TargetLosses losses = std::move(found->second);
     m_losses.erase(found);
-    std::set<Fingerprint> suspects;
-    MonotonicTime earliest = now;
+    CrashCounted crash { target, evidence, {}, {}, now };
     for (const Loss &loss : losses.losses) {
         if ((loss.isAnswered && evidence != CrashEvidence::Restarted) || isExpired(loss, now)) {
             continue;
         }
-        earliest = std::min(earliest, loss.at);
-        if (suspects.insert(loss.fingerprint).second) {
-            addCrash(loss.fingerprint, losses.run, loss.at, now);
+        crash.at = std::min(crash.at, loss.at);
+        crash.requests.insert(loss.suspects.request);
+        addCrash(loss.suspects.request, false, losses.run, loss.at, now);
+        for (const Fingerprint &part : loss.suspects.parts) {
+            crash.parts.insert(part);
+            addCrash(part, true, losses.run, loss.at, now);
         }
     }
-    if (!suspects.empty()) {
-        addEvent(CrashCounted { target, evidence, { suspects.begin(), suspects.end() }, earliest });
+    if (!crash.requests.empty()) {
+        addEvent(std::move(crash));
     }
 }
 
@@ -275,7 +337,19 @@
     }));
 }
 
-CrashTracker::Suspect &CrashTracker::suspect(Fingerprint fingerprint, MonotonicTime now)
+bool CrashTracker::isTrialDue(Fingerprint fingerprint, const Suspect &banned, MonotonicTime now) const
+{
+    Duration delay = banned.isPart ? FIRST_PART_TRIAL_DELAY : FIRST_TRIAL_DELAY;
+    for (int trial = 0; trial < std::min(banned.trials, MAX_DELAY_INCREASES); ++trial) {
+        delay *= TRIAL_DELAY_FACTOR;
+    }
+    const auto latestCrash = std::max_element(
+        banned.crashes.begin(), banned.crashes.end(), [](const auto &left, const auto &right) { return left.second < right.second; });
+    const MonotonicTime since = std::max(latestCrash->second, banned.trialAt.value_or(latestCrash->second));
+    return since + delay <= now && (!m_isOwner || m_isOwner(fingerprint));
+}
+
+CrashTracker::Suspect &CrashTracker::suspect(Fingerprint fingerprint, bool isPart, MonotonicTime now)
 {
     const auto found = m_suspects.find(fingerprint);
     if (found != m_suspects.end()) {
@@ -283,15 +357,20 @@
     }
     makeRoom(now);
     Suspect &added = m_suspects[fingerprint];
+    added.isPart = isPart;
     added.seenAt = now;
     added.changedAt = now;
+    const auto completed = m_completedParts.find(fingerprint);
+    if (completed != m_completedParts.end()) {
+        added.completedAt = completed->second;
+    }
     return added;
 }
 
 // A crash before the last completion is repeated evidence of a daemon that has not heard of the completion; it is told again.
-void CrashTracker::addCrash(Fingerprint fingerprint, TargetRun run, MonotonicTime at, MonotonicTime now)
+void CrashTracker::addCrash(Fingerprint fingerprint, bool isPart, TargetRun run, MonotonicTime at, MonotonicTime now)
 {
-    Suspect &accused = suspect(fingerprint, now);
+    Suspect &accused = suspect(fingerprint, isPart, now);
     if (accused.completedAt && at <= *accused.completedAt) {
         accused.changedAt = now;
         return;
@@ -303,14 +382,11 @@
     }
     accused.changedAt = now;
     accused.seenAt = std::max(accused.seenAt, at);
-    if (isBanned(accused, now) && !std::exchange(accused.wasBanned, true)) {
-        addEvent(RequestBanned { fingerprint, accused.crashes.size() });
-    }
+    m_hasChanged = true;
 }
 
-void CrashTracker::applyCompletion(Fingerprint fingerprint, Suspect &suspect, MonotonicTime completedAt, MonotonicTime now)
+void CrashTracker::applyCompletion(Suspect &suspect, MonotonicTime completedAt, MonotonicTime now)
 {
-    const bool wasBanned = isBanned(suspect, now);
     const std::size_t before = suspect.crashes.size();
     for (auto crash = suspect.crashes.begin(); crash != suspect.crashes.end();) {
         crash = crash->second <= completedAt ? suspect.crashes.erase(crash) : std::next(crash);
@@ -322,9 +398,7 @@
     suspect.changedAt = now;
     suspect.trials = 0;
     suspect.trialAt.reset();
-    if (wasBanned && !isBanned(suspect, now)) {
-        addEvent(BanLifted { fingerprint });
-    }
+    m_hasChanged = true;
 }
 
 void CrashTracker::makeRoom(MonotonicTime now)
@@ -340,6 +414,109 @@
     m_suspects.erase(oldest);
 }
 
+void CrashTracker::forgetCompletedParts(MonotonicTime now)
+{
+    if (m_completedParts.size() <= MAX_COMPLETED_PARTS) {
+        return;
+    }
+    for (auto part = m_completedParts.begin(); part != m_completedParts.end();) {
+        part = part->second + COMPLETED_PART_RETENTION <= now ? m_completedParts.erase(part) : std::next(part);
+    }
+}
+
+// The part with the most crashes explains them for the other parts that were on the same targets, unless requests with it have completed
+// before: then it may have been there by chance.
+void CrashTracker::decide(MonotonicTime now)
+{
+    if (!std::exchange(m_hasChanged, false)) {
+        return;
+    }
+    const std::vector<Entry *> suspected = suspectedParts();
+    for (Entry &entry : m_suspects) {
+        if (!entry.second.isPart) {
+            setBanned(entry, entry.second.crashes.size() >= CRASHES_TO_BAN, now);
+        } else if (entry.second.isBanned && std::find(suspected.begin(), suspected.end(), &entry) == suspected.end()) {
+            setBanned(entry, false, now);
+        }
+    }
+    std::map<TargetRun, std::size_t> explained; // crashes of the part that explains the one of this run
+    for (Entry *entry : suspected) {
+        const Suspect &part = entry->second;
+        const auto unexplained = std::count_if(part.crashes.begin(), part.crashes.end(), [&](const auto &crash) {
+            const auto found = explained.find(crash.first);
+            return found == explained.end() || found->second <= part.crashes.size();
+        });
+        setBanned(*entry, static_cast<std::size_t>(unexplained) >= crashesToBan(part), now);
+        for (auto crash = part.crashes.begin(); crash != part.crashes.end() && part.isBanned && !part.completedAt; ++crash) {
+            explained.emplace(crash->first, part.crashes.size());
+        }
+    }
+    groupBannedParts(suspected);
+}
+
+// Returns the parts under which enough targets have crashed, those with the most crashes first.
+std::vector<CrashTracker::Entry *> CrashTracker::suspectedParts()
+{
+    std::unordered_map<TargetRun, std::vector<const Suspect *>> requests;
+    std::vector<Entry *> suspected;
+    for (Entry &entry : m_suspects) {
+        if (entry.second.isPart && entry.second.crashes.size() >= crashesToBan(entry.second)) {
+            suspected.push_back(&entry);
+        }
+        for (auto crash = entry.second.crashes.begin(); crash != entry.second.crashes.end() && !entry.second.isPart; ++crash) {
+            requests[crash->first].push_back(&entry.second);
+        }
+    }
+    const auto isDueToOneRequest = [&requests](const Entry *entry) {
+        std::unordered_map<const Suspect *, std::size_t> counts;
+        std::size_t most = 0;
+        for (const auto &[run, at] : entry->second.crashes) {
+            for (const Suspect *request : requests[run]) {
+                most = std::max(most, ++counts[request]);
+            }
+        }
+        return entry->second.crashes.size() < most + CRASHES_BESIDES_ONE_REQUEST;
+    };
+    suspected.erase(std::remove_if(suspected.begin(), suspected.end(), isDueToOneRequest), suspected.end());
+    std::sort(suspected.begin(), suspected.end(), [](const Entry *left, const Entry *right) {
+        return left->second.crashes.size() > right->second.crashes.size();
+    });
+    return suspected;
+}
+
+void CrashTracker::groupBannedParts(const std::vector<Entry *> &suspected)
+{
+    const auto hasSameCrashes = [](const Suspect &left, const Suspect &right) {
+        return left.crashes.size() == right.crashes.size()
+            && std::equal(left.crashes.begin(), left.crashes.end(), right.crashes.begin(), [](const auto &first, const auto &second) {
+                   return first.first == second.first;
+               });
+    };
+    for (Entry *entry : suspected) {
+        entry->second.inseparable.clear();
+        for (const Entry *other : suspected) {
+            if (other != entry && other->second.isBanned && hasSameCrashes(entry->second, other->second)) {
+                entry->second.inseparable.push_back(other->first);
+            }
+        }
+    }
+}
+
+void CrashTracker::setBanned(Entry &entry, bool isBanned, MonotonicTime now)
+{
+    Suspect &suspect = entry.second;
+    if (std::exchange(suspect.isBanned, isBanned) == isBanned) {
+        return;
+    }
+    suspect.changedAt = now;
+    if (isBanned) {
+        suspect.wasBanned = true;
+        addEvent(CrashBan { entry.first, suspect.isPart, suspect.crashes.size() });
+    } else {
+        addEvent(BanLifted { entry.first, suspect.isPart });
+    }
+}
+
 void CrashTracker::addEvent(CrashEvent event)
 {
     if (m_events.size() < MAX_EVENTS) {
@@ -351,6 +528,7 @@
 {
     SuspectReport report;
     report.fingerprint = fingerprint;
+    report.isPart = suspect.isPart;
     for (const auto &[run, at] : suspect.crashes) {
         if (report.crashes.size() == MAX_REPORTED_CRASHES) {
             break;
--- a/src/libs/gateway/crashtracker.h
+++ b/src/libs/gateway/crashtracker.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -16,7 +17,13 @@
 /** Identifies one start of a target: a target that restarts under its id begins a new run. */
 using TargetRun = StrongId<struct TargetRunTag, std::uint64_t>;
 
-/** What daemons tell each other about a request that was running on targets that crashed. */
+/** What a crash may be due to: a request as a whole, or one of the prompt parts that it shares with others. */
+struct CrashSuspects {
+    Fingerprint request;
+    std::vector<Fingerprint> parts;
+};
+
+/** What daemons tell each other about a request, or a prompt part of requests, that was running on targets that crashed. */
 struct SuspectReport {
     struct Crash {
         TargetRun run;
@@ -24,10 +31,11 @@
     };
 
     Fingerprint fingerprint;
+    bool isPart = false;
     std::vector<Crash> crashes;           ///< since the last completion
-    std::optional<Duration> completedAge; ///< time since the request last completed
-    Duration seenAge {};                  ///< time since the request last came
-    int trials = 0;                       ///< times that the banned request was let through
+    std::optional<Duration> completedAge; ///< time since such a request last completed
+    Duration seenAge {};                  ///< time since such a request last came
+    int trials = 0;                       ///< times that a banned request was let through
     std::optional<Duration> trialAge;     ///< time since the last trial
 };
 
@@ -38,26 +46,30 @@
     Silent,    ///< it did not respond to anything after it closed connections
 };
 
-/** A crash was attributed to the requests that were running on the target. */
+/** A crash was counted against the requests that were running on the target. */
 struct CrashCounted {
     TargetId target;
     CrashEvidence evidence = CrashEvidence::Gone;
-    std::vector<Fingerprint> suspects;
+    std::set<Fingerprint> requests;
+    std::set<Fingerprint> parts;
     MonotonicTime at;
 };
 
-struct RequestBanned {
+/** Requests with this fingerprint, or with a prompt part of this fingerprint, are not sent to targets. */
+struct CrashBan {
     Fingerprint fingerprint;
+    bool isPart = false;
     std::size_t crashes = 0;
 };
 
-/** The banned request has completed here or at another daemon. */
+/** A banned request has completed here or at another daemon, or the crashes are due to something else. */
 struct BanLifted {
     Fingerprint fingerprint;
+    bool isPart = false;
 };
 
 /** Decision of a CrashTracker, for the log. */
-using CrashEvent = std::variant<CrashCounted, RequestBanned, BanLifted>;
+using CrashEvent = std::variant<CrashCounted, CrashBan, BanLifted>;
 
 /** Whether a request may be sent to a target. */
 enum class Admission {
@@ -67,7 +79,9 @@
 };
 
 /**
- * Tracks which requests were running on targets that crashed, and bans a request after several crashes without a completion in between.
+ * Tracks which requests were running on targets that crashed. Bans a request, or all requests with a prompt part, after several crashes
+ * without a completion in between. Parts that were always on the same targets are banned together: a request with only some of them is
+ * allowed, and tells them apart.
  *
  * A lost connection counts as a crash when the target turns out to be gone or stays silent. All daemons gather the same evidence: crashes
  * are identified by target run, so that each counts once, and a completion voids all earlier ones.
@@ -81,22 +95,24 @@
     void setOwnerFunction(OwnerFunction isOwner);
 
     /** The connection was lost while the target ran the request. */
-    void recordConnectionLoss(Fingerprint fingerprint, const TargetRecord &target, MonotonicTime now);
+    void recordConnectionLoss(const CrashSuspects &suspects, const TargetRecord &target, MonotonicTime now);
     /** A response without length or chunks ended with its connection: it is complete, or the target has crashed. */
-    void recordOpenEnd(Fingerprint fingerprint, const TargetRecord &target, MonotonicTime now);
+    void recordOpenEnd(const CrashSuspects &suspects, const TargetRecord &target, MonotonicTime now);
     /** The target responded to something that was sent to it at the given time. */
-    void recordResponse(const TargetId &target, MonotonicTime sentAt);
+    void recordResponse(const TargetId &target, MonotonicTime sentAt, MonotonicTime now);
     /** The target refuses connections, was removed, or another target has its address. */
     void recordTargetGone(const TargetId &target, MonotonicTime now);
     /** The target has restarted under its id. */
     void recordTargetRestarted(const TargetId &target, MonotonicTime now);
-    /** The request completed, so it did not cause the crashes counted against it. */
-    void recordCompletion(Fingerprint fingerprint, MonotonicTime now);
+    /** The request completed, so neither it nor its parts caused the crashes counted against them. */
+    void recordCompletion(const CrashSuspects &suspects, MonotonicTime now);
 
     /** Decides about a request that has arrived. */
-    Admission admit(Fingerprint fingerprint, MonotonicTime now);
-    bool isBanned(Fingerprint fingerprint, MonotonicTime now) const;
-    /** Number of crashes counted against the request. */
+    Admission admit(const CrashSuspects &suspects, MonotonicTime now);
+    bool isBanned(const CrashSuspects &suspects, MonotonicTime now) const;
+    /** Returns why a request must not be sent, if so. */
+    std::optional<CrashBan> findBan(const CrashSuspects &suspects, MonotonicTime now) const;
+    /** Number of crashes counted against the request or part. */
     std::size_t crashCount(Fingerprint fingerprint) const;
 
     /** Reports for another daemon: all bans, and what has changed a moment ago. */
@@ -109,16 +125,20 @@
 
 private:
     struct Suspect {
+        bool isPart = false;
         std::map<TargetRun, MonotonicTime> crashes; ///< since the last completion
         std::optional<MonotonicTime> completedAt;
         MonotonicTime seenAt;
         MonotonicTime changedAt;
         int trials = 0;
         std::optional<MonotonicTime> trialAt;
+        bool isBanned = false;
         bool wasBanned = false;
+        std::vector<Fingerprint> inseparable; ///< other banned parts under which exactly the same targets crashed
     };
+    using Entry = std::pair<const Fingerprint, Suspect>;
     struct Loss {
-        Fingerprint fingerprint;
+        CrashSuspects suspects;
         MonotonicTime at;
         bool isOpenEnd = false;
         bool isAnswered = false; ///< the target has responded to something sent later
@@ -130,22 +150,34 @@
 
     static TargetRun runOf(const TargetRecord &target);
     static bool isBanned(const Suspect &suspect, MonotonicTime now);
+    /** Returns the ban of the fingerprint if it applies to the request. */
+    const Suspect *findBan(Fingerprint fingerprint, const CrashSuspects &request, MonotonicTime now) const;
+    static std::size_t crashesToBan(const Suspect &suspect);
     static bool isExpired(const Loss &loss, MonotonicTime now);
     void addLoss(const TargetRecord &target, Loss loss);
     void countCrash(const TargetId &target, CrashEvidence evidence, MonotonicTime now);
     void countSilentTargets(MonotonicTime now);
     void countReportedCrash(TargetRun run, MonotonicTime now);
     std::size_t targetsLostAround(MonotonicTime at) const;
-    Suspect &suspect(Fingerprint fingerprint, MonotonicTime now);
-    void addCrash(Fingerprint fingerprint, TargetRun run, MonotonicTime at, MonotonicTime now);
-    void applyCompletion(Fingerprint fingerprint, Suspect &suspect, MonotonicTime completedAt, MonotonicTime now);
+    bool isTrialDue(Fingerprint fingerprint, const Suspect &banned, MonotonicTime now) const;
+    Suspect &suspect(Fingerprint fingerprint, bool isPart, MonotonicTime now);
+    void addCrash(Fingerprint fingerprint, bool isPart, TargetRun run, MonotonicTime at, MonotonicTime now);
+    void applyCompletion(Suspect &suspect, MonotonicTime completedAt, MonotonicTime now);
     void makeRoom(MonotonicTime now);
+    void forgetCompletedParts(MonotonicTime now);
+    /** Decides anew which suspects are banned if the evidence has changed. */
+    void decide(MonotonicTime now);
+    std::vector<Entry *> suspectedParts();
+    void groupBannedParts(const std::vector<Entry *> &suspected);
+    void setBanned(Entry &entry, bool isBanned, MonotonicTime now);
     void addEvent(CrashEvent event);
     SuspectReport report(Fingerprint fingerprint, const Suspect &suspect, MonotonicTime now) const;
 
     OwnerFunction m_isOwner;
     std::unordered_map<Fingerprint, Suspect> m_suspects;
-    std::map<TargetId, TargetLosses> m_losses; ///< of targets that are not yet known to have crashed
+    std::unordered_map<Fingerprint, MonotonicTime> m_completedParts; ///< latest completion of a request with the part
+    bool m_hasChanged = false;                                       ///< the evidence, since the last decision
+    std::map<TargetId, TargetLosses> m_losses;                       ///< of targets that are not yet known to have crashed
     std::vector<CrashEvent> m_events;
 };
 
--- a/src/libs/gateway/refusal.cpp
+++ b/src/libs/gateway/refusal.cpp
@@ -45,6 +45,8 @@
         return "what the target sent is no whole answer to this request";
     case GiveUpCause::Banned:
         return "the request has crashed targets";
+    case GiveUpCause::PromptPartBanned:
+        return "requests with a part of this prompt have crashed targets";
     case GiveUpCause::UnknownOrigin:
         return "it is not known where the stream began";
     case GiveUpCause::StagesOverloaded:
--- a/src/libs/gateway/refusal.h
+++ b/src/libs/gateway/refusal.h
@@ -15,6 +15,7 @@
     IncompleteResponse, ///< the target was lost before its response was complete; it may have run the request
     InvalidResponse,    ///< the target did not send a valid response to this request
     Banned,             ///< the request has repeatedly crashed targets
+    PromptPartBanned,   ///< targets have crashed under requests with a part of the prompt
     ShuttingDown,
     NoConfiguration,  ///< the daemon has not read its configuration since it started
     UnknownOrigin,    ///< nobody knows at which software version the stream that the caller resumes began
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -22,7 +22,8 @@
 constexpr std::chrono::milliseconds RETRY_OVERLOADED { 4000 };   // callers told to retry after 1000 ms returned during the same burst
 // Percentage of the objective. Not lower, because estimates are means and slightly late responses are still useful.
 constexpr int OVERLOAD_PERCENT = 150;
-constexpr std::chrono::seconds RETRY_BANNED { 30 }; // longer than callers keep retrying
+constexpr std::chrono::seconds RETRY_BANNED { 30 };      // longer than callers keep retrying
+constexpr std::chrono::seconds RETRY_BANNED_PART { 10 }; // a wrong ban of a part is found out after this time
 constexpr int MAX_ENGINE_PRIORITY = 9;
 constexpr int ENGINE_PRIORITY_PER_RANK = 2;
 constexpr int LATE_ENGINE_PRIORITY_OFFSET = 4;
@@ -32,6 +33,18 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+// The last part of a prompt is specific to the request, which is a suspect itself.
+CrashSuspects suspectsOf(const RelayRequest &request)
+{
+    constexpr std::uint64_t PART_SEED = 1; // a part and a request never have the same fingerprint
+    CrashSuspects suspects { request.fingerprint, {} };
+    const std::vector<PromptPart> &parts = request.prompt.parts;
+    for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
+        suspects.parts.emplace_back(stableHash(parts[index].id, PART_SEED));
+    }
+    return suspects;
+}
+
 // Total time of the longest path of dependent stages that starts after the given stage.
 template<typename TimeOf>
 Duration longestPathAfter(const StagePlan &plan, std::size_t stage, const TimeOf &timeOf)
@@ -51,6 +64,7 @@
 
 RelayMachine::RelayMachine(RelayRequest request, RelayContext &context)
     : m_request(std::move(request))
+    , m_suspects(suspectsOf(m_request))
     , m_context(context)
     , m_plan(m_request.route->stages, m_request.pieceCounts)
     , m_orderedAt(m_plan.size())
@@ -61,14 +75,14 @@
 {
     RelayActions actions;
     m_context.retries.recordRequest(m_request.service, now);
-    const Admission admission = m_context.crashes.admit(m_request.fingerprint, now);
+    const Admission admission = m_context.crashes.admit(m_suspects, now);
     if (admission == Admission::Banned) {
-        giveUp(GiveUpCause::Banned, banDetail(), RETRY_BANNED, actions);
+        refuseBanned(actions, now);
         return actions;
     }
     if (admission == Admission::Trial) {
         m_isTrial = true;
-        logDecision(actions, "banned request let through", banDetail());
+        logDecision(actions, "banned request let through", banDetail(now));
     }
     if (now + MIN_USEFUL_TIME > m_request.endsAt()) {
         giveUp(GiveUpCause::DeadlineUnreachable, {}, RETRY_SOON, actions);
@@ -159,7 +173,7 @@
     if (head.status == STATUS_MISDIRECTED) {
         m_context.crashes.recordTargetGone(m_attempt->target.id, now);
     } else {
-        m_context.crashes.recordResponse(m_attempt->target.id, m_attempt->sentAt);
+        m_context.crashes.recordResponse(m_attempt->target.id, m_attempt->sentAt, now);
     }
     const bool isSuccess = head.status >= STATUS_OK && head.status < 300;
     if (isSuccess && !head.isStamped) {
@@ -221,7 +235,7 @@
     }
     const ResponseHead head = *m_attempt->head;
     if (m_framer.hasPartialEvent() || (head.hasOpenEnd && !m_streamStarted)) {
-        m_context.crashes.recordConnectionLoss(m_request.fingerprint, m_attempt->target, now);
+        m_context.crashes.recordConnectionLoss(m_suspects, m_attempt->target, now);
         const std::string detail = m_streamStarted ? "the stream ended within an event" : "the stream ended before its first event";
         onResponseLost(GiveUpCause::IncompleteResponse, detail, actions, now);
         return actions;
@@ -259,7 +273,7 @@
         break;
     }
     case AttemptFailure::ConnectionLost:
-        m_context.crashes.recordConnectionLoss(m_request.fingerprint, m_attempt->target, now);
+        m_context.crashes.recordConnectionLoss(m_suspects, m_attempt->target, now);
         onResponseLost(GiveUpCause::IncompleteResponse, detail, actions, now);
         break;
     case AttemptFailure::Unresponsive:
@@ -437,7 +451,7 @@
 {
     // The request may have been banned while its stages ran, or by its last attempt.
     if (isStopped(now)) {
-        fallBackOrGiveUp(GiveUpCause::Banned, banDetail(), RETRY_BANNED, actions);
+        refuseBanned(actions, now);
         return;
     }
     // The stage results were freed once the previous target had fetched them, but another target needs them again.
@@ -566,13 +580,25 @@
 
 bool RelayMachine::isStopped(MonotonicTime now) const
 {
-    return m_isTrial ? !m_triedTargets.empty() : m_context.crashes.isBanned(m_request.fingerprint, now);
+    return m_isTrial ? !m_triedTargets.empty() : m_context.crashes.isBanned(m_suspects, now);
 }
 
-std::string RelayMachine::banDetail() const
+void RelayMachine::refuseBanned(RelayActions &actions, MonotonicTime now)
 {
-    return "fingerprint=" + hexText(m_request.fingerprint.value())
-        + " crashes=" + std::to_string(m_context.crashes.crashCount(m_request.fingerprint));
+    const std::optional<CrashBan> ban = m_context.crashes.findBan(m_suspects, now);
+    const bool isPart = ban && ban->isPart;
+    fallBackOrGiveUp(
+        isPart ? GiveUpCause::PromptPartBanned : GiveUpCause::Banned, banDetail(now), isPart ? RETRY_BANNED_PART : RETRY_BANNED, actions);
+}
+
+std::string RelayMachine::banDetail(MonotonicTime now) const
+{
+    const std::optional<CrashBan> ban = m_context.crashes.findBan(m_suspects, now);
+    if (!ban) {
+        return {};
+    }
+    return std::string(ban->isPart ? "part=" : "fingerprint=") + hexText(ban->fingerprint.value())
+        + " crashes=" + std::to_string(ban->crashes);
 }
 
 bool RelayMachine::tryAcquireRetry(MonotonicTime now)
@@ -584,9 +610,9 @@
 void RelayMachine::recordCompletion(const ResponseHead &head, const TargetRecord &target, MonotonicTime now)
 {
     if (head.hasOpenEnd) {
-        m_context.crashes.recordOpenEnd(m_request.fingerprint, target, now);
+        m_context.crashes.recordOpenEnd(m_suspects, target, now);
     } else {
-        m_context.crashes.recordCompletion(m_request.fingerprint, now);
+        m_context.crashes.recordCompletion(m_suspects, now);
     }
 }
 
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -98,7 +98,8 @@
     std::optional<FailureDomain> mostCommonDomain(const std::vector<StageResult> &results) const;
     /** Whether the request must not be sent to a target any more because it has crashed targets. */
     bool isStopped(MonotonicTime now) const;
-    std::string banDetail() const;
+    void refuseBanned(RelayActions &actions, MonotonicTime now);
+    std::string banDetail(MonotonicTime now) const;
     bool tryAcquireRetry(MonotonicTime now);
     void recordCompletion(const ResponseHead &head, const TargetRecord &target, MonotonicTime now);
     void endAttempt(AttemptResult result, MonotonicTime now);
@@ -113,6 +114,7 @@
     Duration jittered(Duration time) const;
 
     RelayRequest m_request;
+    CrashSuspects m_suspects; ///< what a crash of the request's target may be due to
     RelayContext &m_context;
     StagePlan m_plan;
     std::size_t m_openOrders = 0;
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -466,7 +466,7 @@
     RelayMachine machine = fixture.machine(staged, { 1 });
     machine.start(START);
     for (const char *id : { "x", "y" }) {
-        fixture.crashes.recordConnectionLoss(machine.request().fingerprint, target(id, "engine"), START);
+        fixture.crashes.recordConnectionLoss({ machine.request().fingerprint, {} }, target(id, "engine"), START);
         fixture.crashes.recordTargetGone(TargetId(id), START);
     }
     const RelayActions last = machine.onStageFinished(0, { { 0, StageResult { "handle", TargetId("maker") } } }, START);
--- a/tests/auto/gateway/tst_requestpolicies.cpp
+++ b/tests/auto/gateway/tst_requestpolicies.cpp
@@ -41,8 +41,8 @@
 BOOST_AUTO_TEST_CASE(requestThatCrashesTargetsIsBanned)
 {
     CrashTracker crashes;
-    const Fingerprint crashing(1);
-    const Fingerprint bystander(2);
+    const CrashSuspects crashing { Fingerprint(1), {} };
+    const CrashSuspects bystander { Fingerprint(2), {} };
     crashes.recordConnectionLoss(crashing, target("a", "engine"), START);
     crashes.recordConnectionLoss(bystander, target("a", "engine"), START);
     crashes.recordTargetGone(TargetId("a"), START + milliseconds(10));
@@ -61,11 +61,11 @@
 {
     CrashTracker crashes;
     for (int round = 0; round < 10; ++round) {
-        crashes.recordConnectionLoss(Fingerprint(1), target("a", "engine"), START + seconds(round));
-        crashes.recordResponse(TargetId("a"), START + seconds(round) + milliseconds(100));
+        crashes.recordConnectionLoss({ Fingerprint(1), {} }, target("a", "engine"), START + seconds(round));
+        crashes.recordResponse(TargetId("a"), START + seconds(round) + milliseconds(100), START + seconds(round) + milliseconds(100));
         crashes.expire(START + seconds(round) + milliseconds(900));
     }
-    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + seconds(10)));
+    BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + seconds(10)));
 }
 
 BOOST_AUTO_TEST_CASE(copiesOnOneTargetCountOnceAndCountsOfDaemonsAreSummed)
@@ -73,17 +73,17 @@
     CrashTracker crashes;
     CrashTracker other;
     for (int copy = 0; copy < 5; ++copy) {
-        crashes.recordConnectionLoss(Fingerprint(1), target("a", "engine"), START);
+        crashes.recordConnectionLoss({ Fingerprint(1), {} }, target("a", "engine"), START);
     }
-    other.recordConnectionLoss(Fingerprint(1), target("a", "engine"), START);
+    other.recordConnectionLoss({ Fingerprint(1), {} }, target("a", "engine"), START);
     crashes.recordTargetGone(TargetId("a"), START);
     other.recordTargetGone(TargetId("a"), START);
     crashes.merge(other.reports(START), START);
-    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START));
-    other.recordConnectionLoss(Fingerprint(1), target("b", "engine"), START);
+    BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START));
+    other.recordConnectionLoss({ Fingerprint(1), {} }, target("b", "engine"), START);
     other.recordTargetGone(TargetId("b"), START);
     crashes.merge(other.reports(START), START);
-    BOOST_TEST(crashes.isBanned(Fingerprint(1), START));
+    BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START));
     BOOST_TEST(crashes.crashCount(Fingerprint(1)) == 2U);
 }
 
@@ -92,12 +92,12 @@
 {
     CrashTracker crashes;
     for (const char *id : { "a", "b" }) {
-        crashes.recordConnectionLoss(Fingerprint(1), target(id, "engine"), START);
+        crashes.recordConnectionLoss({ Fingerprint(1), {} }, target(id, "engine"), START);
     }
     crashes.expire(START + milliseconds(400));
-    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + milliseconds(400)));
+    BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + milliseconds(400)));
     crashes.expire(START + milliseconds(600));
-    BOOST_TEST(crashes.isBanned(Fingerprint(1), START + milliseconds(600)));
+    BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START + milliseconds(600)));
 }
 
 // The network resets connections to many targets at once; that these are silent afterwards shows nothing.
@@ -105,10 +105,10 @@
 {
     CrashTracker crashes;
     for (int number = 0; number < 5; ++number) {
-        crashes.recordConnectionLoss(Fingerprint(1), target("t" + std::to_string(number), "engine"), START + milliseconds(number));
+        crashes.recordConnectionLoss({ Fingerprint(1), {} }, target("t" + std::to_string(number), "engine"), START + milliseconds(number));
     }
     crashes.expire(START + seconds(1));
-    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + seconds(1)));
+    BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + seconds(1)));
 }
 
 // A response without length or chunks that ended with its connection cleared the request that had crashed the target.
@@ -116,14 +116,14 @@
 {
     CrashTracker crashes;
     for (const char *id : { "a", "b" }) {
-        crashes.recordOpenEnd(Fingerprint(1), target(id, "engine"), START);
+        crashes.recordOpenEnd({ Fingerprint(1), {} }, target(id, "engine"), START);
         crashes.recordTargetGone(TargetId(id), START + seconds(1));
     }
-    BOOST_TEST(crashes.isBanned(Fingerprint(1), START + seconds(1)));
-    crashes.recordOpenEnd(Fingerprint(1), target("c", "engine"), START + seconds(2));
-    BOOST_TEST(crashes.isBanned(Fingerprint(1), START + seconds(2)));
-    crashes.recordResponse(TargetId("c"), START + seconds(3));
-    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + seconds(3)));
+    BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START + seconds(1)));
+    crashes.recordOpenEnd({ Fingerprint(1), {} }, target("c", "engine"), START + seconds(2));
+    BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START + seconds(2)));
+    crashes.recordResponse(TargetId("c"), START + seconds(3), START + seconds(3));
+    BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + seconds(3)));
 }
 
 // A completion at one daemon lifts the ban at all, and the next greeting of another one does not bring it back.
@@ -132,16 +132,16 @@
     CrashTracker crashes;
     CrashTracker other;
     for (const char *id : { "a", "b" }) {
-        crashes.recordConnectionLoss(Fingerprint(1), target(id, "engine"), START);
+        crashes.recordConnectionLoss({ Fingerprint(1), {} }, target(id, "engine"), START);
         crashes.recordTargetGone(TargetId(id), START);
     }
     other.merge(crashes.reports(START), START);
-    BOOST_TEST(other.isBanned(Fingerprint(1), START));
-    crashes.recordCompletion(Fingerprint(1), START + seconds(1));
+    BOOST_TEST(other.isBanned({ Fingerprint(1), {} }, START));
+    crashes.recordCompletion({ Fingerprint(1), {} }, START + seconds(1));
     crashes.merge(other.reports(START + seconds(1)), START + seconds(1));
-    BOOST_TEST(!crashes.isBanned(Fingerprint(1), START + seconds(1)));
+    BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + seconds(1)));
     other.merge(crashes.reports(START + seconds(1)), START + seconds(1));
-    BOOST_TEST(!other.isBanned(Fingerprint(1), START + seconds(1)));
+    BOOST_TEST(!other.isBanned({ Fingerprint(1), {} }, START + seconds(1)));
 }
 
 // A wrong ban would never end, because a request that is refused cannot complete.
@@ -149,19 +149,19 @@
 {
     CrashTracker crashes;
     for (const char *id : { "a", "b" }) {
-        crashes.recordConnectionLoss(Fingerprint(1), target(id, "engine"), START);
+        crashes.recordConnectionLoss({ Fingerprint(1), {} }, target(id, "engine"), START);
         crashes.recordTargetGone(TargetId(id), START);
     }
     int trials = 0;
     for (int second = 1; second <= 600; ++second) {
-        trials += crashes.admit(Fingerprint(1), START + seconds(second)) == Admission::Trial ? 1 : 0;
+        trials += crashes.admit({ Fingerprint(1), {} }, START + seconds(second)) == Admission::Trial ? 1 : 0;
     }
     BOOST_TEST(trials >= 1);
     BOOST_TEST(trials <= 3);
     CrashTracker notOwner;
     notOwner.setOwnerFunction([](Fingerprint) { return false; });
     notOwner.merge(crashes.reports(START + seconds(600)), START + seconds(600));
-    BOOST_TEST((notOwner.admit(Fingerprint(1), START + seconds(900)) == Admission::Banned));
+    BOOST_TEST((notOwner.admit({ Fingerprint(1), {} }, START + seconds(900)) == Admission::Banned));
 }
 
 BOOST_AUTO_TEST_CASE(refusalStatusMatchesRunState)
@@ -175,6 +175,7 @@
                                      GiveUpCause::IncompleteResponse,
                                      GiveUpCause::InvalidResponse,
                                      GiveUpCause::Banned,
+                                     GiveUpCause::PromptPartBanned,
                                      GiveUpCause::ShuttingDown,
                                      GiveUpCause::NoConfiguration,
                                      GiveUpCause::StagesOverloaded }) {
--- a/tests/scenarios/crashloads.py
+++ b/tests/scenarios/crashloads.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+from fragiletargets import BAD_PART
 from gateways import judge, send_routed
 
 SHARED_PART = "5c1e07a2"
@@ -32,9 +33,9 @@
         self._threads = [threading.Thread(target=self._send_sound, args=(1 / sound_rate,), daemon=True)]
         self._threads[0].start()
 
-    def send_bad(self, prompt, parts, rate_factor=1.0):
-        """@param parts no value: the same request again and again; else a function that gives the parts of the next one"""
-        self._threads.append(threading.Thread(target=self._send_bad, args=(prompt, parts, rate_factor), daemon=True))
+    def send_bad(self, prompt=None):
+        """Sends bad requests from now on: with this prompt, all alike, or with a bad part, no two alike."""
+        self._threads.append(threading.Thread(target=self._send_bad, args=(prompt,), daemon=True))
         self._threads[-1].start()
 
     def stop(self):
@@ -60,12 +61,12 @@
             self._start(f"sound-{number}", f"sound {number}", [SHARED_PART, f"{number % 4:08x}", f"f0{number:06x}"])
             time.sleep(pause_s)
 
-    def _send_bad(self, prompt, parts, rate_factor):
+    def _send_bad(self, prompt):
         while not self._stop.is_set():
             number = next(self._numbers)
-            own = parts(number) if parts else [SHARED_PART, "00000001", "bad0bad0"]
-            self._start(f"bad-{number}", prompt if parts is None else f"{prompt} {number}", own)
-            self._stop.wait(self._random.uniform(*self.bad_pause_s) / rate_factor)
+            parts = [SHARED_PART, "00000001"] if prompt else [SHARED_PART, "00000001", BAD_PART]
+            self._start(f"bad-{number}", prompt or f"bad {number}", [*parts, f"b0{number:06x}"])
+            self._stop.wait(self._random.uniform(*self.bad_pause_s))
 
     def _start(self, request_id, prompt, parts):
         vms = [vm for vm in self._fleet.vms.values() if vm.process.poll() is None]
--- a/tests/scenarios/fragiletargets.py
+++ b/tests/scenarios/fragiletargets.py
@@ -16,6 +16,7 @@
 START_S = 0.02
 CALL_S = 0.03
 BAD_PROMPT = "CRASH"
+BAD_PART = "bad0bad0"  # of a prompt
 FRAMINGS = ("length", "chunks", "close")
 SENT_BEFORE_CRASH = (0, 1, 1.5, 3, 3.5)  # head and parts of the answer; the head counts as one
 TIME_IN_TOUCH_S = 3.0  # stableWindowMs
@@ -152,7 +153,7 @@
 
     def culprits_of(self, prompt, headers):
         parts = [part.split(":")[0] for part in headers.get("x-cassiarelay-prompt-prefix", "").split(",")]
-        keys = [prompt] if prompt == BAD_PROMPT else [part for part in parts[:-1] if part in self._targets.bad_parts]
+        keys = [prompt] * (prompt == BAD_PROMPT) + [part for part in parts[:-1] if part == BAD_PART]
         return [self._targets.culprits.setdefault(key, Culprit()) for key in keys]
 
     def crash(self, target, culprits=()):
@@ -185,7 +186,6 @@
 
     def __init__(self, fleet):
         self.culprits = {}
-        self.bad_parts = set()
         self._fleet = fleet
         self._services = []
         self._loop = asyncio.new_event_loop()
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -91,10 +91,10 @@
     def verb_crash(self, name):
         http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"die": True}))
 
-    # send-bad same-request: the crash load sends one request again and again
+    # send-bad same-request | send-bad part: the crash load sends one request again and again, or requests with one bad part
     def verb_send_bad(self, what):
-        assert what == "same-request", f"cannot send {what}"
-        self.load.send_bad(BAD_PROMPT, None)
+        assert what in ("same-request", "part"), f"cannot send {what}"
+        self.load.send_bad(BAD_PROMPT if what == "same-request" else None)
 
     # crash-some SERVICE COUNT: targets crash without a cause
     def verb_crash_some(self, service, count):
