Let both simulations of fleets share their daemons

RateLimitSimulation and CrashSimulation each had daemons that greet each other, are killed, frozen and cut off; SimulatedFleet now serves both. tst_targetratelimits: the same 65 cases pass as before.

--- a/tests/auto/gateway/ratelimitsimulation.h
+++ b/tests/auto/gateway/ratelimitsimulation.h
@@ -1,12 +1,9 @@
 #pragma once
 
 #include "../../standins/ratelimitcheck.h"
-#include "samples.h"
+#include "simulatedfleet.h"
 
-#include <map>
-#include <memory>
 #include <random>
-#include <vector>
 
 namespace CassiaRelay::Gateway {
 
@@ -29,27 +26,17 @@
     void setRequestRate(double perSecond);
     void run(Duration duration);
 
-    void kill(int vm);
+    SimulatedFleet &fleet();
     /** Starts a daemon that was killed, or one more. */
     void start(int vm);
-    void freeze(int vm);
-    void resume(int vm);
-    /** Daemons in different parts can't reach each other; those in no part reach all. */
-    void split(std::map<int, int> partOfVm);
 
     /** Number of the daemon that the others take for the issuer. */
-    int issuer() const;
+    int issuer();
     RateLimitOutcome takeOutcome();
     std::uint64_t overruns(int target) const;
     std::uint64_t arrivals(int target) const;
 
 private:
-    struct Vm {
-        std::unique_ptr<Members> members;
-        std::unique_ptr<TargetRegistry> targets;
-        bool isAlive = false;
-        bool isFrozen = false;
-    };
     struct SimulatedTarget {
         TargetRecord record;
         StandIns::RateLimitCheck check;
@@ -62,25 +49,22 @@
         MonotonicTime at;
     };
 
-    VmId vmId(int vm) const;
-    bool reaches(int from, int to) const;
-    int vmOf(const VmId &id) const;
-    void connect(int from, int to);
-    void exchangeGreetings(int from);
+    TargetRegistry &targets(int vm);
+    std::unique_ptr<TargetRegistry> makeRegistry(int vm);
+    /** Passes on what a greeting says about rate limits. */
     void greet(int from, int to);
     void exchangePermits(int vm, const ServiceName &service);
     void sendRequest(int vm);
     void deliverResponses();
-    void updateShares(int vm);
 
     MonotonicTime m_now = Samples::START;
     MonotonicTime m_nextRequestAt = Samples::START;
     double m_requestRate = 60;
     std::mt19937 m_random { 7 };
-    std::vector<Vm> m_vms;
+    std::vector<std::unique_ptr<TargetRegistry>> m_registries; ///< by daemon
     std::vector<SimulatedTarget> m_targets;
+    SimulatedFleet m_fleet;
     std::vector<PendingResponse> m_responses;
-    std::map<int, int> m_partOfVm;
     RateLimitOutcome m_outcome;
     int m_replacements = 0;
 };
--- a/tests/auto/gateway/simulatedfleet.cpp
+++ b/tests/auto/gateway/simulatedfleet.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-SimulatedFleet::SimulatedFleet(int vmCount, GreetingHandler onGreeting, MonotonicTime now)
+SimulatedFleet::SimulatedFleet(int vmCount, GreetingHandler onGreeting, MonotonicTime now, ChangeHandler onChange)
     : m_onGreeting(std::move(onGreeting))
+    , m_onChange(std::move(onChange))
     , m_vms(static_cast<std::size_t>(vmCount))
 {
     for (int vm = 0; vm < vmCount; ++vm) {
@@ -70,7 +71,9 @@
         if (!isRunning(from) || phase % (GREETING_INTERVAL / STEP) != 0) {
             continue;
         }
-        members(from).expire(now);
+        if (!members(from).expire(now).empty() && m_onChange) {
+            m_onChange(from);
+        }
         for (const Endpoint &endpoint : members(from).endpointsToGreet(now)) {
             const int to = endpoint.port - FIRST_PORT;
             if (to < size() && to != from && reaches(from, to)) {
@@ -88,7 +91,10 @@
 
 void SimulatedFleet::start(int vm)
 {
-    Vm &started = m_vms.at(static_cast<std::size_t>(vm));
+    if (vm >= size()) {
+        m_vms.resize(static_cast<std::size_t>(vm) + 1);
+    }
+    Vm &started = m_vms[static_cast<std::size_t>(vm)];
     started.isAlive = true;
     started.isFrozen = false;
     started.members = std::make_unique<Members>(vmId(vm), endpointOf(vm));
@@ -119,6 +125,11 @@
     return VmId("vm-" + std::to_string(vm));
 }
 
+int SimulatedFleet::vmOf(const VmId &id)
+{
+    return std::stoi(id.value().substr(vmId(0).value().size() - 1));
+}
+
 void SimulatedFleet::greet(int from, int to, MonotonicTime now)
 {
     std::vector<Endpoint> known;
@@ -128,7 +139,9 @@
         }
     }
     m_onGreeting(from, to);
-    members(to).onGreeting({ vmId(from), endpointOf(from), 1, false }, known, now);
+    if (members(to).onGreeting({ vmId(from), endpointOf(from), 1, false }, known, now) && m_onChange) {
+        m_onChange(to);
+    }
 }
 
 } // namespace CassiaRelay::Gateway
--- a/tests/auto/gateway/simulatedfleet.h
+++ b/tests/auto/gateway/simulatedfleet.h
@@ -16,8 +16,11 @@
     /** Carries what a greeting holds besides the members. */
     using GreetingHandler = std::function<void(int from, int to)>;
 
+    /** The members that a daemon knows have changed. */
+    using ChangeHandler = std::function<void(int vm)>;
+
     /** The fleet has been running for long: all daemons know each other. */
-    SimulatedFleet(int vmCount, GreetingHandler onGreeting, MonotonicTime now);
+    SimulatedFleet(int vmCount, GreetingHandler onGreeting, MonotonicTime now, ChangeHandler onChange = {});
 
     int size() const;
     Members &members(int vm);
@@ -29,6 +32,7 @@
     void exchangeGreetings(MonotonicTime now);
 
     void kill(int vm);
+    /** Starts a daemon that was killed, or one more. */
     void start(int vm);
     void freeze(int vm);
     void resume(int vm);
@@ -36,6 +40,7 @@
     void split(std::map<int, int> partOfVm);
 
     static VmId vmId(int vm);
+    static int vmOf(const VmId &id);
 
 private:
     struct Vm {
@@ -47,6 +52,7 @@
     void greet(int from, int to, MonotonicTime now);
 
     GreetingHandler m_onGreeting;
+    ChangeHandler m_onChange;
     std::vector<Vm> m_vms;
     std::map<int, int> m_partOfVm;
 };
--- a/tests/auto/gateway/tst_targetratelimits.cpp
+++ b/tests/auto/gateway/tst_targetratelimits.cpp
@@ -110,7 +110,7 @@
     simulation.setLimit(1, 3);
     simulation.run(seconds(6));
     const int issuer = simulation.issuer();
-    simulation.kill(issuer);
+    simulation.fleet().kill(issuer);
     simulation.run(seconds(4));
     simulation.takeOutcome();
     simulation.run(seconds(4));
@@ -127,9 +127,9 @@
     simulation.setLimit(1, 1);
     simulation.run(seconds(6));
     const int issuer = simulation.issuer();
-    simulation.freeze(issuer);
+    simulation.fleet().freeze(issuer);
     simulation.run(seconds(5));
-    simulation.resume(issuer);
+    simulation.fleet().resume(issuer);
     simulation.run(seconds(20));
     BOOST_TEST(overruns(simulation, 2) == 0);
 }
@@ -147,9 +147,9 @@
             parts[vm] = vm % 3;
         }
     }
-    simulation.split(parts);
+    simulation.fleet().split(parts);
     simulation.run(seconds(20));
-    simulation.split({});
+    simulation.fleet().split({});
     simulation.run(seconds(20));
     BOOST_TEST(overruns(simulation, 2) == 0);
 }
