Restore the condition of lostConnectionsAloneBanNothing

The test has no responses again and passes; the case with responses, at ten different targets, is a test of its own.

--- a/tests/auto/gateway/tst_requestpolicies.cpp
+++ b/tests/auto/gateway/tst_requestpolicies.cpp
@@ -62,12 +62,24 @@
     CrashTracker crashes;
     for (int round = 0; round < 10; ++round) {
         crashes.recordConnectionLoss({ Fingerprint(1), {} }, target("a", "engine"), START + seconds(round));
-        crashes.recordResponse(TargetId("a"), START + seconds(round) + milliseconds(100), START + seconds(round) + milliseconds(100));
         crashes.expire(START + seconds(round) + milliseconds(900));
     }
     BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + seconds(10)));
 }
 
+BOOST_AUTO_TEST_CASE(lossesAtTargetsThatRespondBanNothing)
+{
+    CrashTracker crashes;
+    for (int round = 0; round < 10; ++round) {
+        const std::string id = "t" + std::to_string(round);
+        const MonotonicTime lostAt = START + seconds(round);
+        crashes.recordConnectionLoss({ Fingerprint(1), {} }, target(id, "engine"), lostAt);
+        crashes.recordResponse(TargetId(id), lostAt + milliseconds(100), lostAt + milliseconds(110));
+        crashes.expire(lostAt + milliseconds(900));
+    }
+    BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + seconds(10)));
+}
+
 BOOST_AUTO_TEST_CASE(copiesOnOneTargetCountOnceAndCountsOfDaemonsAreSummed)
 {
     CrashTracker crashes;
