--- /dev/null
+++ b/tests/scenarios/cutload.py
@@ -0,0 +1,80 @@
+"""Requests of several routes at gateways of which some are cut off from all targets."""
+
+import collections
+import http.client
+import itertools
+import threading
+import time
+
+from callers import SteadyLoad
+from gateways import judge, send_routed
+
+SETTLED_S = 3.0  # from this long after a cut, callers of the gateways that are cut off have to be served
+
+
+class CutLoad(SteadyLoad):
+    """Every request is a first try, sent to the gateways in turn whether they are cut off or not."""
+
+    numbers = itertools.count()
+
+    def __init__(self, fleet, routes, rate):
+        self._routes = itertools.cycle(routes)
+        self._tries = []  # (sent at, gateway, route, kind, duration)
+        self._cuts = []  # [names, began, ended]
+        self.sent = {}  # route by request id
+        super().__init__(fleet, None, rate)
+
+    def cut(self, names):
+        self._cuts.append([set(names), time.monotonic(), None])
+
+    def mend(self):
+        self._cuts[-1][2] = time.monotonic()
+
+    def _send(self):
+        number = 0
+        while not self._stop.is_set():
+            vms = list(self._fleet.vms.values())
+            call = threading.Thread(target=self._call, args=(vms[number % len(vms)], number), daemon=True)
+            self._calls.append(call)
+            call.start()
+            number += 1
+            time.sleep(self._interval)
+
+    def _call(self, vm, number):
+        with self._lock:
+            route = next(self._routes)
+            request_id = f"cut-load-{next(self.numbers)}"
+            self.sent[request_id] = route
+        sent_at = time.monotonic()
+        kind, detail = "failed", ""
+        connection = vm.connection()
+        try:
+            send_routed(connection, route, request_id, request_id, patience_ms=5000)
+            response = connection.getresponse()
+            detail = response.read().decode()
+            kind = judge(response, detail, request_id, request_id)
+        except (OSError, http.client.HTTPException) as failure:
+            detail = repr(failure)
+        finally:
+            connection.close()
+        with self._lock:
+            self.counts[kind] += 1
+            self._tries.append((sent_at, vm.name, route, kind, time.monotonic() - sent_at))
+            if kind != "answered":
+                self.examples.append(f"{vm.name} {request_id} {route} {kind}: {detail[-200:]}")
+
+    def shares(self, route):
+        """Served shares of the first tries at the gateways that were cut off, while they were, and at the others meanwhile."""
+        counts = collections.Counter()
+        for sent_at, name, tried, kind, _ in self._tries:
+            for names, began, ended in self._cuts:
+                if tried != route or sent_at < began + SETTLED_S or sent_at > (ended or time.monotonic()):
+                    continue
+                counts[(name in names, "sent")] += 1
+                counts[(name in names, "served")] += kind == "answered"
+        return tuple(counts[(is_cut, "served")] / max(1, counts[(is_cut, "sent")]) for is_cut in (True, False))
+
+    def share_since(self, since):
+        """Served share of the tries that were sent since then."""
+        kinds = [kind for sent_at, _, _, kind, _ in self._tries if sent_at >= since]
+        return kinds.count("answered") / max(1, len(kinds))
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -11,6 +11,7 @@
 
 from callers import SteadyLoad
 from fleet import CALL_LIMIT_S, DOMAINS, Fleet, http_json
+from targetlinks import TargetLinks
 
 HOST = "desk.example"
 KEY = "scenario-caller-key"
@@ -112,15 +113,33 @@
         self.routes = [dict(route, host=HOST) for route in ROUTES]
         self.withdrawn = []
         self.keys = [KEY]
+        self.items = {}
+        self.target_links = None
+        self.own_stores = {}  # of gateways with relays of their own: (port of the store, address of the relays), by name
         self.template = (self.build.parent / "platform/settings.template").read_text()
 
     def put_item(self, key, document):
-        status, answer = http_json(self.platform_port, "PUT", f"/items/{key}", json.dumps(document))
+        self.items[key] = document
+        self._put(self.platform_port, key, document)
+        for port, relay_address in self.own_stores.values():
+            self._put(port, key, self._behind_relay(document, relay_address))
+
+    @staticmethod
+    def _put(port, key, document):
+        status, answer = http_json(port, "PUT", f"/items/{key}", json.dumps(document))
         assert status == 200, answer
 
+    @staticmethod
+    def _behind_relay(document, relay_address):
+        if "address" not in document:
+            return document
+        return dict(document, address=document["address"].replace("127.0.0.1", relay_address))
+
     def remove_item(self, key):
-        status, answer = http_json(self.platform_port, "DELETE", f"/items/{key}")
-        assert status == 200, answer
+        self.items.pop(key, None)
+        for port in [self.platform_port, *(port for port, _ in self.own_stores.values())]:
+            status, answer = http_json(port, "DELETE", f"/items/{key}")
+            assert status == 200, answer
 
     def publish_routes(self):
         self.version += 1
@@ -148,15 +167,27 @@
             if target["pool"] == service:
                 self.publish_target(target)
 
-    def start_gateways(self, count):
+    def start_gateways(self, count, behind_relays=False):
         network = f"127.{random.randrange(1, 255)}.{random.randrange(255)}"
         for index in range(count):
             self.vms[f"vm-{index}"] = Gateway(f"vm-{index}", DOMAINS[index % len(DOMAINS)], f"{network}.{index + 1}")
+            if behind_relays:
+                self.open_relays(f"vm-{index}", f"{network}.{count + index + 1}")
         for vm in self.vms.values():
             self.start_gateway(vm)
         for vm in self.vms.values():
             self.wait_ready(vm)
 
+    def open_relays(self, name, address):
+        """Relays between a gateway and all targets; a store of its own tells it their addresses."""
+        self.target_links = self.target_links or TargetLinks()
+        self.target_links.open(name, address, [target["port"] for target in self.targets])
+        self.start_process(f"store-{name}", [self.build / "tests/standins/standin-platform"])
+        port = int(self.output_lines(f"store-{name}", 1)[0])
+        self.own_stores[name] = (port, address)
+        for key, document in self.items.items():
+            self._put(port, key, self._behind_relay(document, address))
+
     def start_gateway(self, vm):
         path = self.write_settings(vm)
         vm.process = self.start_process(vm.name, [self.build / "src/app/cassiarelayd/cassiarelayd", "--gateway", "--settings", path])
@@ -164,11 +195,12 @@
     def write_settings(self, vm, shutdown_s=8):
         """Renders the settings of a daemon from the template, as the platform does."""
         seeds = [other.endpoint(other.peer_port) for other in list(self.vms.values())[:3]]
+        store_port = self.own_stores[vm.name][0] if vm.name in self.own_stores else self.platform_port
         path = self.work / f"{vm.name}.json"
         path.write_text(render(self.template, {
             "node": vm.name, "region": REGION, "zone": vm.domain, "zones": {domain: REGION for domain in DOMAINS},
             "listen": {"front": vm.endpoint(vm.caller_port), "ready": vm.endpoint(vm.ready_port), "control": vm.endpoint(vm.peer_port)},
-            "platform": {"address": f"127.0.0.1:{self.platform_port}"}, "seeds": seeds,
+            "platform": {"address": f"127.0.0.1:{store_port}"}, "seeds": seeds,
             "limits": {"cpuShare": 0.25},
             "bounds": {"graceS": shutdown_s, "retryBudgetRatio": 0.2, "budgetExtra": 50, "budgetWindowS": 10, "coldOver": 1.5, "coldSlack": 5}}))
         return path
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -5,6 +5,7 @@
 import time
 
 from crashloads import CrashLoad
+from cutload import CutLoad
 from fleet import http_json, wait_until
 from fragiletargets import BAD_PROMPT, FragileTargets
 from gateways import KEY, UNSAFE_ROUTES, ResumedLoad, RoutedCall, RoutedLoad
@@ -23,6 +24,7 @@
 
     # start platform | start service NAME COUNT OPTIONS... | start fragile-service NAME COUNT WAY,... | start gateways COUNT
     # start load ROUTE RATE | start resumed-load RATE | start crash-load ROUTE RATE
+    # start gateways-behind-relays COUNT | start cut-load ROUTE,... RATE
     def verb_start(self, what, *words):
         if what == "platform":
             self.fleet.start_platform()
@@ -35,6 +37,10 @@
             self.load = CrashLoad(self.fleet, self.fragile, words[0], float(words[1]))
         elif what == "gateways":
             self.fleet.start_gateways(int(words[0]))
+        elif what == "gateways-behind-relays":
+            self.fleet.start_gateways(int(words[0]), behind_relays=True)
+        elif what == "cut-load":
+            self.load = CutLoad(self.fleet, words[0].split(","), float(words[1]))
         elif what == "load":
             self.load = RoutedLoad(self.fleet, words[0], float(words[1]))
         elif what == "resumed-load":
@@ -87,6 +93,17 @@
         target["version"] = version
         self.fleet.publish_target(target)
 
+    # cut-targets VM,... WAY: these gateways reach no target; their connections are reset, hang, or live on while new ones are refused
+    def verb_cut_targets(self, names, way):
+        self.cut_off = names.split(",")
+        self.fleet.target_links.cut(self.cut_off, way)
+        self.load.cut(self.cut_off)
+
+    # mend-targets: ends the last cut
+    def verb_mend_targets(self):
+        self.fleet.target_links.mend(self.cut_off)
+        self.load.mend()
+
     # crash TARGET: it is back after a second
     def verb_crash(self, name):
         http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"die": True}))
@@ -183,6 +200,27 @@
         self.load.stop()
         return COMPARE[operator](self.load.ends["sound wrong"], int(count)), self.load.examples[:3]
 
+    # cut-served ROUTE OPERATOR SHARE: how often callers of the gateways that were cut off were served, compared with those of the others
+    def condition_cut_served(self, route, operator, share):
+        at_cut, at_others = self.load.shares(route)
+        return COMPARE[operator](at_cut, float(share) * at_others), (at_cut, at_others, self.load.examples[-3:])
+
+    # others-served ROUTE OPERATOR SHARE: how often callers of the other gateways were served meanwhile
+    def condition_others_served(self, route, operator, share):
+        return COMPARE[operator](self.load.shares(route)[1], float(share)), self.load.examples[-3:]
+
+    # served OPERATOR SHARE SECONDS: how often callers of all gateways were served in the last seconds
+    def condition_served(self, operator, share, seconds):
+        seen = self.load.share_since(time.monotonic() - float(seconds))
+        return COMPARE[operator](seen, float(share)), (seen, self.load.examples[-3:])
+
+    # cut-load-once: nothing that may not be repeated has run twice, here or elsewhere; ends the load first
+    def condition_cut_load_once(self):
+        self.load.stop()
+        runs = self.fleet.runs()
+        twice = [request for request, route in self.load.sent.items() if route in UNSAFE_ROUTES and runs.get(request, 0) > 1]
+        return not twice, twice[:3]
+
     # total FIGURE OPERATOR COUNT: a figure that targets tell, over all of them
     def condition_total(self, figure, operator, count):
         seen = sum(stats.get(figure, 0) for stats in self.fleet.target_stats())
