Wait for the store before a response with an open end counts as complete

Cause: the answer of a target was taken for a sign that its last response without length or chunks had been complete. A target that is back at once under its id answers too, and the store tells its new start up to three seconds later. The completion cleared the request or part that had crashed the target.

Change: the response counts as complete five seconds after its end if the target has answered and no new start was told.

--- a/src/libs/gateway/crashtracker.cpp
+++ b/src/libs/gateway/crashtracker.cpp
@@ -15,7 +15,7 @@
 constexpr std::chrono::minutes RETENTION { 10 };         // longer than callers pause before they send such a request again
 constexpr std::chrono::milliseconds SILENCE { 500 };     // a sound target responds within this time, or it is confirmed to be gone
 constexpr std::chrono::seconds CONFIRMATION_TIME { 10 }; // the store tells of a lost target within five seconds
-constexpr std::chrono::seconds OPEN_END_TIME { 3 };      // a target that is found to be gone later has crashed for another reason
+constexpr std::chrono::seconds OPEN_END_TIME { 5 };      // the store tells of a target that restarts under its id within this time
 constexpr std::chrono::milliseconds SAME_CRASH { 300 };
 // Connections to so many targets are lost at once when the network resets them, not when targets crash.
 constexpr std::size_t RESET_TARGETS = 3;
@@ -51,22 +51,15 @@
     addLoss(target, { suspects, now, true });
 }
 
-void CrashTracker::recordResponse(const TargetId &target, MonotonicTime sentAt, MonotonicTime now)
+void CrashTracker::recordResponse(const TargetId &target, MonotonicTime sentAt)
 {
     const auto found = m_losses.find(target);
     if (found == m_losses.end()) {
         return;
     }
-    std::vector<Loss> &losses = found->second.losses;
-    for (Loss &loss : losses) {
+    for (Loss &loss : found->second.losses) {
         loss.isAnswered = loss.isAnswered || loss.at < sentAt;
-        if (loss.isAnswered && loss.isOpenEnd) {
-            recordCompletion(loss.suspects, loss.at);
-        }
     }
-    const auto isComplete = [](const Loss &loss) { return loss.isAnswered && loss.isOpenEnd; };
-    losses.erase(std::remove_if(losses.begin(), losses.end(), isComplete), losses.end());
-    decide(now);
 }
 
 void CrashTracker::recordTargetGone(const TargetId &target, MonotonicTime now)
@@ -83,17 +76,7 @@
 
 void CrashTracker::recordCompletion(const CrashSuspects &suspects, MonotonicTime now)
 {
-    const auto clear = [this, now](Fingerprint fingerprint) {
-        const auto found = m_suspects.find(fingerprint);
-        if (found != m_suspects.end()) {
-            applyCompletion(found->second, now, now);
-        }
-    };
-    clear(suspects.request);
-    for (const Fingerprint &part : suspects.parts) {
-        m_completedParts[part] = now;
-        clear(part);
-    }
+    applyCompletion(suspects, now, now);
     decide(now);
 }
 
@@ -208,7 +191,11 @@
     countSilentTargets(now);
     for (auto target = m_losses.begin(); target != m_losses.end();) {
         std::vector<Loss> &losses = target->second.losses;
-        losses.erase(std::remove_if(losses.begin(), losses.end(), [now](const Loss &loss) { return isExpired(loss, now); }), losses.end());
+        const auto expired = std::stable_partition(losses.begin(), losses.end(), [now](const Loss &loss) { return !isExpired(loss, now); });
+        for (auto loss = expired; loss != losses.end(); ++loss) {
+            completeOpenEnd(*loss, now);
+        }
+        losses.erase(expired, losses.end());
         target = losses.empty() ? m_losses.erase(target) : std::next(target);
     }
     for (auto entry = m_suspects.begin(); entry != m_suspects.end();) {
@@ -271,9 +258,16 @@
     }
     TargetLosses &losses = m_losses[target.id];
     losses.run = run;
-    if (losses.losses.size() < MAX_LOSSES) {
-        losses.losses.push_back(std::move(loss));
+    if (losses.losses.size() == MAX_LOSSES) {
+        // Most responses with an open end are complete.
+        const auto first = std::find_if(losses.losses.begin(), losses.losses.end(), [](const Loss &entry) { return entry.isOpenEnd; });
+        if (first == losses.losses.end()) {
+            return;
+        }
+        completeOpenEnd(*first, loss.at);
+        losses.losses.erase(first);
     }
+    losses.losses.push_back(std::move(loss));
 }
 
 // A response after the loss may come from a target that has restarted under the same id, but not from another target.
@@ -303,6 +297,14 @@
     }
 }
 
+// A target that restarted under its id answers as well, so an answer alone does not show that a response with an open end was complete.
+void CrashTracker::completeOpenEnd(const Loss &loss, MonotonicTime now)
+{
+    if (loss.isOpenEnd && loss.isAnswered) {
+        applyCompletion(loss.suspects, loss.at, now);
+    }
+}
+
 // Another daemon has found out that a target crashed on which requests of this one were running.
 void CrashTracker::countReportedCrash(TargetRun run, MonotonicTime now)
 {
@@ -385,6 +387,22 @@
     m_hasChanged = true;
 }
 
+void CrashTracker::applyCompletion(const CrashSuspects &suspects, MonotonicTime completedAt, MonotonicTime now)
+{
+    const auto clear = [this, completedAt, now](Fingerprint fingerprint) {
+        const auto found = m_suspects.find(fingerprint);
+        if (found != m_suspects.end()) {
+            applyCompletion(found->second, completedAt, now);
+        }
+    };
+    clear(suspects.request);
+    for (const Fingerprint &part : suspects.parts) {
+        MonotonicTime &latest = m_completedParts.try_emplace(part, completedAt).first->second;
+        latest = std::max(latest, completedAt);
+        clear(part);
+    }
+}
+
 void CrashTracker::applyCompletion(Suspect &suspect, MonotonicTime completedAt, MonotonicTime now)
 {
     const std::size_t before = suspect.crashes.size();
--- a/src/libs/gateway/crashtracker.h
+++ b/src/libs/gateway/crashtracker.h
@@ -99,7 +99,7 @@
     /** A response without length or chunks ended with its connection: it is complete, or the target has crashed. */
     void recordOpenEnd(const CrashSuspects &suspects, const TargetRecord &target, MonotonicTime now);
     /** The target responded to something that was sent to it at the given time. */
-    void recordResponse(const TargetId &target, MonotonicTime sentAt, MonotonicTime now);
+    void recordResponse(const TargetId &target, MonotonicTime sentAt);
     /** The target refuses connections, was removed, or another target has its address. */
     void recordTargetGone(const TargetId &target, MonotonicTime now);
     /** The target has restarted under its id. */
@@ -162,7 +162,10 @@
     bool isTrialDue(Fingerprint fingerprint, const Suspect &banned, MonotonicTime now) const;
     Suspect &suspect(Fingerprint fingerprint, bool isPart, MonotonicTime now);
     void addCrash(Fingerprint fingerprint, bool isPart, TargetRun run, MonotonicTime at, MonotonicTime now);
+    void applyCompletion(const CrashSuspects &suspects, MonotonicTime completedAt, MonotonicTime now);
     void applyCompletion(Suspect &suspect, MonotonicTime completedAt, MonotonicTime now);
+    /** Counts the response as complete if the target answered afterwards. */
+    void completeOpenEnd(const Loss &loss, MonotonicTime now);
     void makeRoom(MonotonicTime now);
     void forgetCompletedParts(MonotonicTime now);
     /** Decides anew which suspects are banned if the evidence has changed. */
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -173,7 +173,7 @@
     if (head.status == STATUS_MISDIRECTED) {
         m_context.crashes.recordTargetGone(m_attempt->target.id, now);
     } else {
-        m_context.crashes.recordResponse(m_attempt->target.id, m_attempt->sentAt, now);
+        m_context.crashes.recordResponse(m_attempt->target.id, m_attempt->sentAt);
     }
     const bool isSuccess = head.status >= STATUS_OK && head.status < 300;
     if (isSuccess && !head.isStamped) {
--- a/tests/auto/gateway/tst_requestpolicies.cpp
+++ b/tests/auto/gateway/tst_requestpolicies.cpp
@@ -74,7 +74,7 @@
         const std::string id = "t" + std::to_string(round);
         const MonotonicTime lostAt = START + seconds(round);
         crashes.recordConnectionLoss({ Fingerprint(1), {} }, target(id, "engine"), lostAt);
-        crashes.recordResponse(TargetId(id), lostAt + milliseconds(100), lostAt + milliseconds(110));
+        crashes.recordResponse(TargetId(id), lostAt + milliseconds(100));
         crashes.expire(lostAt + milliseconds(900));
     }
     BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + seconds(10)));
@@ -134,8 +134,28 @@
     BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START + seconds(1)));
     crashes.recordOpenEnd({ Fingerprint(1), {} }, target("c", "engine"), START + seconds(2));
     BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START + seconds(2)));
-    crashes.recordResponse(TargetId("c"), START + seconds(3), START + seconds(3));
-    BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + seconds(3)));
+    crashes.recordResponse(TargetId("c"), START + seconds(3));
+    // The target may have restarted under its id; the store tells it within five seconds.
+    BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START + seconds(3)));
+    crashes.expire(START + seconds(6));
+    BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START + seconds(6)));
+    crashes.expire(START + seconds(7));
+    BOOST_TEST(!crashes.isBanned({ Fingerprint(1), {} }, START + seconds(7)));
+}
+
+// A target that was back at once under its id answered, so that the end of its response passed for a completion.
+BOOST_AUTO_TEST_CASE(openEndOfATargetThatRestartsUnderItsIdIsNoCompletion)
+{
+    CrashTracker crashes;
+    for (const char *id : { "a", "b" }) {
+        crashes.recordOpenEnd({ Fingerprint(1), {} }, target(id, "engine"), START);
+        crashes.recordResponse(TargetId(id), START + milliseconds(100));
+        crashes.expire(START + seconds(3));
+        crashes.recordTargetRestarted(TargetId(id), START + seconds(3));
+    }
+    BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START + seconds(3)));
+    crashes.expire(START + seconds(9));
+    BOOST_TEST(crashes.isBanned({ Fingerprint(1), {} }, START + seconds(9)));
 }
 
 // A completion at one daemon lifts the ban at all, and the next greeting of another one does not bring it back.
