--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -19,8 +19,9 @@
 constexpr std::chrono::milliseconds MAX_IDLE_TIME { 10000 };
 constexpr std::size_t MAX_IDLE_PER_TARGET = 4; // TargetRegistry lowers it where many daemons share the connections of a target
 constexpr std::size_t MAX_IDLE_PER_PEER = 16;
-constexpr std::size_t MAX_LOGGED_SUSPECTS = 8; // keeps the line short; all of them are counted
-constexpr int MIN_SHARED_VMS = 12;             // the size of a cell; fewer VMs may grow to it before all of them have noticed
+constexpr std::size_t MAX_LOGGED_SUSPECTS = 8;   // keeps the line short; all of them are counted
+constexpr std::size_t MAX_HANDOVER_BYTES = 4096; // of the field that is added to a request
+constexpr int MIN_SHARED_VMS = 12;               // the size of a cell; fewer VMs may grow to it before all of them have noticed
 
 Net::HttpClientLimits clientLimits(std::size_t idlePerServer)
 {
@@ -70,6 +71,15 @@
     return server;
 }
 
+// Requests of callers that are handed over must fit.
+Net::HttpLimits toPeerLimits(const Gateway::CallerLimits &limits)
+{
+    Net::HttpLimits peer;
+    peer.maxBodyBytes = std::max(peer.maxBodyBytes, limits.maxBodyBytes);
+    peer.maxHeaderBytes = std::max(peer.maxHeaderBytes, limits.maxHeaderBytes + MAX_HANDOVER_BYTES);
+    return peer;
+}
+
 std::string firstOf(const std::set<Fingerprint> &fingerprints)
 {
     std::string text;
@@ -103,13 +113,14 @@
     , m_peerClient(m_context, clientLimits(MAX_IDLE_PER_PEER))
     , m_targets(toColdLimits(settings), toRegions(settings), stableHash(settings.vm.value()))
     , m_retries(toRetryLimits(settings))
-    , m_relayContext { m_targets, m_retries, m_crashes, m_stageLatencyEstimator, settings.maxVms }
     , m_members(settings.vm, settings.peers.value_or(settings.callers), settings.capacity)
+    , m_relayContext { m_targets, m_retries, m_crashes, m_stageLatencyEstimator, m_reachability, m_members, settings.maxVms }
     , m_permitBroker(m_context, m_peerClient, m_targets, m_members, m_metrics, m_log)
-    , m_pieceBroker(m_context, m_targetClient, m_peerClient, port, m_targets, m_members, m_permitBroker, m_metrics, m_log)
+    , m_pieceBroker(m_context, m_targetClient, m_peerClient, port, m_targets, m_members, m_reachability, m_permitBroker, m_metrics, m_log)
     , m_streamBroker(m_context, m_peerClient, m_members, m_metrics, m_log)
-    , m_services { m_context,     m_targetClient, port,           m_catalogue, m_relayContext,
-                   m_pieceBroker, m_permitBroker, m_streamBroker, m_metrics,   m_log }
+    , m_services { m_context,      m_targetClient, m_peerClient,   settings.vm,    port,      m_catalogue,
+                   m_relayContext, m_pieceBroker,  m_permitBroker, m_streamBroker, m_metrics, m_log }
+    , m_prober(m_context, m_reachability, m_targets, [this] { onReachabilityChanged(); })
     , m_requestDispatcher(m_services)
     , m_watcher(m_context,
                 m_storeClient,
@@ -141,6 +152,7 @@
                                                     m_peerClient,
                                                     settings.vm,
                                                     *settings.peers,
+                                                    settings.failureDomain,
                                                     settings.capacity,
                                                     m_members,
                                                     m_crashes,
@@ -262,6 +274,9 @@
     m_targets.setServices(change.table->services());
     m_pieceBroker.apply(*change.table);
     m_callerServer->setLimits(toServerLimits(change.table->limits()));
+    if (m_peerServer) {
+        m_peerServer->setLimits(toPeerLimits(change.table->limits()));
+    }
 }
 
 void GatewayDaemon::apply(const Gateway::EntryRejected &change)
@@ -280,6 +295,25 @@
     m_pieceBroker.onMembersChanged();
 }
 
+void GatewayDaemon::onReachabilityChanged()
+{
+    const std::vector<Gateway::ReachabilityChange> changes = m_reachability.takeChanges();
+    if (changes.empty()) {
+        return;
+    }
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    for (const Gateway::ReachabilityChange &change : changes) {
+        m_log.write(change.isBlocked ? "service out of reach" : "service in reach",
+                    { { "service", change.service.value() },
+                      { "probes", std::to_string(change.probes) },
+                      { "blocked_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(change.blockedFor).count()) } },
+                    now);
+    }
+    m_members.setBlockedServices(m_reachability.blockedServices());
+    m_permitBroker.onMembersChanged();
+    m_pieceBroker.returnBlockedOrders();
+}
+
 void GatewayDaemon::logCrashEvents()
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
@@ -313,7 +347,9 @@
 void GatewayDaemon::handlePeer(const Net::HttpExchangePointer &exchange)
 {
     const std::string target(exchange->request().target());
-    if (target == PeerGossip::PATH) {
+    if (RequestDispatcher::isHandedOver(exchange->request())) {
+        m_requestDispatcher.handleHandedOver(exchange);
+    } else if (target == PeerGossip::PATH) {
         m_peerGossip->handleGreeting(exchange);
     } else if (target == PermitBroker::PATH) {
         m_permitBroker.handleRequest(exchange);
@@ -448,6 +484,7 @@
 {
     m_watcher.stop();
     m_pieceBroker.stop();
+    m_prober.stop();
     if (m_peerGossip) {
         m_peerGossip->stop();
     }
--- a/src/app/gateway/gatewaydaemon.h
+++ b/src/app/gateway/gatewaydaemon.h
@@ -3,6 +3,7 @@
 #include "peergossip.h"
 #include "requestdispatcher.h"
 #include "storewatcher.h"
+#include "targetprober.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <settings/settings.h>
@@ -36,6 +37,7 @@
     void apply(const Gateway::EntryRejected &change);
     void scheduleExpiry();
     void onMembersChanged();
+    void onReachabilityChanged();
     void logCrashEvents();
     void handlePeer(const Net::HttpExchangePointer &exchange);
     void handleReadiness(const Net::HttpExchangePointer &exchange);
@@ -65,12 +67,14 @@
     Gateway::RetryBudget m_retries;
     Gateway::CrashTracker m_crashes;
     Gateway::StageLatencyEstimator m_stageLatencyEstimator;
-    Gateway::RelayContext m_relayContext;
+    Gateway::ReachabilityTracker m_reachability;
     Gateway::Members m_members;
+    Gateway::RelayContext m_relayContext;
     PermitBroker m_permitBroker;
     PieceBroker m_pieceBroker;
     StreamBroker m_streamBroker;
     GatewayServices m_services;
+    TargetProber m_prober;
     RequestDispatcher m_requestDispatcher;
     StoreWatcher m_watcher;
     std::unique_ptr<PeerGossip> m_peerGossip;
--- a/src/app/gateway/gatewayservices.h
+++ b/src/app/gateway/gatewayservices.h
@@ -25,6 +25,8 @@
 struct GatewayServices {
     boost::asio::io_context &context;
     Net::HttpClient &targetClient;
+    Net::HttpClient &peerClient;
+    VmId vm;
     const Gateway::PlatformPort &port;
     const Gateway::Catalogue &catalogue;
     Gateway::RelayContext &relayContext;
--- /dev/null
+++ b/src/app/gateway/handovermessages.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <gateway/gateway.h>
+#include <net/net.h>
+#include <schema/schema.h>
+
+#include <optional>
+
+namespace CassiaRelay::GatewayDaemon {
+
+/**
+ * A request that is handed over keeps its method, path, fields and body. This field holds Schema::HandedOverRequest as JSON and is the
+ * only one that is added.
+ */
+inline constexpr const char *HANDOVER_FIELD = "Cell-Handover";
+
+/** Removes HANDOVER_FIELD, which callers may have sent as well. */
+void removeHandoverField(std::vector<HttpField> &fields);
+/** Returns the value of HANDOVER_FIELD. */
+std::string handoverText(const Gateway::HandOverRequest &action,
+                         const Gateway::RelayRequest &request,
+                         const VmId &sender,
+                         MonotonicTime now);
+/** @throws std::exception if the text can't be read */
+Schema::HandedOverRequest parseHandover(const std::string &text);
+Gateway::Handover toHandover(const Schema::HandedOverRequest &message);
+
+Net::HttpResponse declineResponse(Gateway::DeclineReason reason);
+/** Returns why the other daemon has declined the request; no value if it has not. */
+std::optional<Gateway::DeclineReason> declineReason(const Net::HttpCallHead &head);
+
+} // namespace CassiaRelay::GatewayDaemon
--- a/src/app/gateway/peergossip.cpp
+++ b/src/app/gateway/peergossip.cpp
@@ -66,6 +66,7 @@
                        Net::HttpClient &client,
                        VmId self,
                        Endpoint endpoint,
+                       FailureDomain failureDomain,
                        double capacity,
                        Gateway::Members &members,
                        Gateway::CrashTracker &crashes,
@@ -77,6 +78,7 @@
     : m_client(client)
     , m_self(std::move(self))
     , m_endpoint(std::move(endpoint))
+    , m_failureDomain(std::move(failureDomain))
     , m_capacity(capacity)
     , m_incarnation(newIncarnation())
     , m_members(members)
@@ -188,6 +190,13 @@
             greeting.known.push_back(member.endpoint.text());
         }
     }
+    greeting.domain = m_failureDomain.value();
+    if (!m_members.blockedServices().empty()) {
+        greeting.blocked.emplace();
+        for (const Gateway::ServiceName &service : m_members.blockedServices()) {
+            greeting.blocked->push_back(service.value());
+        }
+    }
     const MonotonicTime now = std::chrono::steady_clock::now();
     std::vector<Schema::SuspectReport> suspects;
     for (const Gateway::SuspectReport &report : m_crashes.reports(now)) {
@@ -215,6 +224,10 @@
     if (greeting.knownHash) {
         member.knownDaemonsHash = static_cast<std::uint64_t>(*greeting.knownHash);
     }
+    member.failureDomain = FailureDomain(greeting.domain.value_or(std::string()));
+    for (const std::string &service : greeting.blocked.value_or(std::vector<std::string>())) {
+        member.blockedServices.insert(Gateway::ServiceName(service));
+    }
     std::vector<Endpoint> known;
     for (const std::string &address : greeting.known) {
         known.push_back(Endpoint::parse(address));
@@ -232,7 +245,8 @@
                     { { "vm", member.vm.value() },
                       { "address", member.endpoint.text() },
                       { "incarnation", std::to_string(member.incarnation) },
-                      { "leaving", member.isLeaving ? "yes" : "no" } },
+                      { "leaving", member.isLeaving ? "yes" : "no" },
+                      { "blocked_services", std::to_string(member.blockedServices.size()) } },
                     now);
         m_onChange();
     }
--- a/src/app/gateway/peergossip.h
+++ b/src/app/gateway/peergossip.h
@@ -25,6 +25,7 @@
                Net::HttpClient &client,
                VmId self,
                Endpoint endpoint,
+               FailureDomain failureDomain,
                double capacity,
                Gateway::Members &members,
                Gateway::CrashTracker &crashes,
@@ -54,6 +55,7 @@
     Net::HttpClient &m_client;
     VmId m_self;
     Endpoint m_endpoint;
+    FailureDomain m_failureDomain;
     double m_capacity;
     Incarnation m_incarnation;
     Gateway::Members &m_members;
--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -11,6 +11,7 @@
 constexpr unsigned STATUS_OK = 200;
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_MISDIRECTED = 421;
+constexpr unsigned STATUS_UNAVAILABLE = 503;
 constexpr std::chrono::milliseconds DISPATCH_INTERVAL { 25 }; // about a tenth of the duration of a stage call
 constexpr std::chrono::milliseconds FREE_BATCH_DELAY { 10 };  // batches several requests; 30 ms kept result memory occupied for too long
 constexpr std::chrono::milliseconds FREE_TIMEOUT { 1000 };
@@ -62,6 +63,7 @@
                          const Gateway::PlatformPort &port,
                          Gateway::TargetRegistry &targets,
                          Gateway::Members &members,
+                         Gateway::ReachabilityTracker &reachability,
                          PermitBroker &permitBroker,
                          Metrics::Registry &metrics,
                          EventLog &log)
@@ -70,6 +72,7 @@
     , m_port(port)
     , m_targets(targets)
     , m_members(members)
+    , m_reachability(reachability)
     , m_permitBroker(permitBroker)
     , m_log(log)
     , m_callCounter(metrics.counter("cassiarelay_stage_calls_total"))
@@ -153,12 +156,22 @@
         exchange->respond(std::move(response));
         return;
     }
+    const auto onReturned = [exchange] {
+        Net::HttpResponse response;
+        response.status = STATUS_UNAVAILABLE;
+        exchange->respond(std::move(response));
+    };
+    if (m_reachability.isBlocked(pieceOrder.service)) {
+        onReturned();
+        return;
+    }
     const Gateway::OrderId id = add(pieceOrder, [exchange](const std::vector<Gateway::PieceCompletion> &completions) {
         Net::HttpResponse response;
         response.contentType = "application/cbor";
         response.body = Schema::toCbor(toMessage(completions));
         exchange->respond(std::move(response));
     });
+    m_orders.at(id).onReturned = onReturned;
     exchange->onClosed([this, id] { withdraw(id); });
     placeLocally(id);
 }
@@ -216,6 +229,40 @@
     }
 }
 
+void PieceBroker::returnBlockedOrders()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    std::vector<Gateway::OrderId> returned;
+    for (const auto &[id, order] : m_orders) {
+        const Gateway::ServiceName &service = order.pieceOrder.service;
+        if (!order.owner && m_reachability.isBlocked(service) && m_members.availableOwner(service, now)) {
+            returned.push_back(id);
+        }
+    }
+    for (const Gateway::OrderId &id : returned) {
+        returnOrder(id);
+    }
+    if (!returned.empty()) {
+        m_log.write("piece orders returned", { { "orders", std::to_string(returned.size()) } }, now);
+    }
+}
+
+// Calls for its pieces may still be running here. What they make is freed.
+void PieceBroker::returnOrder(Gateway::OrderId id)
+{
+    PendingOrder &order = m_orders.at(id);
+    schedulerFor(order.pieceOrder.service).withdraw(id);
+    free(Gateway::successfulResults(std::exchange(order.completions, {})));
+    order.openPieces = order.pieceOrder.pieces.size();
+    if (!order.onReturned) {
+        place(id);
+        return;
+    }
+    const std::function<void()> onReturned = std::move(order.onReturned);
+    m_orders.erase(id);
+    onReturned();
+}
+
 void PieceBroker::dispatchAll()
 {
     std::vector<Gateway::ServiceName> waiting;
@@ -409,6 +456,7 @@
                                  const std::string &body)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
+    m_reachability.recordResponse(service, now);
     if (response.load) {
         m_targets.setReportedLoad(call.target.id, *response.load, now);
     }
@@ -439,6 +487,10 @@
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
     m_failedCallCounter.add();
+    if (result == Gateway::AttemptResult::Unreachable || result == Gateway::AttemptResult::Broken
+        || result == Gateway::AttemptResult::Silent) {
+        m_reachability.recordFailure(service, now);
+    }
     m_log.write("stage call failed",
                 { { "service", service.value() },
                   { "target", call.target.id.value() },
@@ -456,7 +508,7 @@
     std::set<Gateway::OrderId> finishedOrders;
     for (const Gateway::OrderProgress &pieceProgress : progress) {
         const auto order = m_orders.find(pieceProgress.order);
-        if (order == m_orders.end()) {
+        if (order == m_orders.end() || !awaitsPiece(order->second, pieceProgress.completion.piece)) {
             if (const auto *result = std::get_if<Gateway::StageResult>(&pieceProgress.completion.outcome)) {
                 unwanted.push_back(*result);
             }
@@ -475,6 +527,15 @@
     }
 }
 
+// An order that was returned may have been placed here again while earlier calls for its pieces were running.
+bool PieceBroker::awaitsPiece(const PendingOrder &order, int piece)
+{
+    return !order.owner
+        && std::none_of(order.completions.begin(), order.completions.end(), [piece](const Gateway::PieceCompletion &completion) {
+               return completion.piece == piece;
+           });
+}
+
 void PieceBroker::finish(Gateway::OrderId id)
 {
     const auto found = m_orders.find(id);
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -32,6 +32,7 @@
                 const Gateway::PlatformPort &port,
                 Gateway::TargetRegistry &targets,
                 Gateway::Members &members,
+                Gateway::ReachabilityTracker &reachability,
                 PermitBroker &permitBroker,
                 Metrics::Registry &metrics,
                 EventLog &log);
@@ -48,6 +49,8 @@
     void apply(const Gateway::RouteTable &table);
     /** Places the orders of lost owners again: at the next owner, or locally if that is this daemon. */
     void onMembersChanged();
+    /** Gives up the orders for services that this daemon does not reach, if another one does: they are placed there. */
+    void returnBlockedOrders();
     /** Dispatches the waiting pieces of all services after targets have changed. */
     void dispatchAll();
     /** Frees the results at targets that had reached their rate limit before. Call about once per second. */
@@ -66,6 +69,7 @@
     struct PendingOrder {
         Gateway::PieceOrder pieceOrder;
         DoneHandler onDone;
+        std::function<void()> onReturned; ///< only of orders of other daemons: this one does not carry it out
         std::vector<Gateway::PieceCompletion> completions;
         std::size_t openPieces = 0;
         std::optional<VmId> owner; ///< not set if this daemon schedules the pieces
@@ -76,6 +80,7 @@
     Gateway::OrderId add(const Gateway::PieceOrder &pieceOrder, DoneHandler onDone);
     void place(Gateway::OrderId id);
     void placeLocally(Gateway::OrderId id);
+    void returnOrder(Gateway::OrderId id);
     void placeAtOwner(const Gateway::Member &owner, Gateway::OrderId id);
     void onOwnerResponse(Gateway::OrderId id, unsigned status, const std::string &body);
     void onOwnerFailed(Gateway::OrderId id, const std::string &reason);
@@ -91,6 +96,7 @@
                       Gateway::AttemptResult result,
                       const std::string &reason);
     void applyProgress(const std::vector<Gateway::OrderProgress> &progress);
+    static bool awaitsPiece(const PendingOrder &order, int piece);
     void finish(Gateway::OrderId id);
     void scheduleDispatch();
     void scheduleFree();
@@ -107,6 +113,7 @@
     const Gateway::PlatformPort &m_port;
     Gateway::TargetRegistry &m_targets;
     Gateway::Members &m_members;
+    Gateway::ReachabilityTracker &m_reachability;
     PermitBroker &m_permitBroker;
     EventLog &m_log;
     Metrics::Counter &m_callCounter;
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -2,6 +2,7 @@
 
 #include "callrequests.h"
 #include "fieldlist.h"
+#include "handovermessages.h"
 #include "refusalresponse.h"
 
 namespace CassiaRelay::GatewayDaemon {
@@ -77,7 +78,12 @@
             self->m_call->resume();
         }
     });
-    if (m_machine.request().isResumption()) {
+    const Gateway::RelayRequest &request = m_machine.request();
+    const bool isBound = request.handover && request.handover->origin;
+    if (request.handover) {
+        m_services.metrics.counter("cassiarelay_requests_received_from_peers_total").add();
+    }
+    if (request.isResumption() && !isBound) {
         startResumed();
     } else {
         perform(m_machine.start(std::chrono::steady_clock::now()));
@@ -192,12 +198,27 @@
 
 void RelaySession::perform(const Gateway::SendRequest &action)
 {
-    const Gateway::AttemptNumber attempt = action.attempt;
-    const auto self = shared_from_this();
-    Net::HttpCallHandlers handlers;
-    handlers.onHead = [self, attempt, target = action.target](const Net::HttpCallHead &head) {
+    Net::HttpCallHandlers handlers = attemptHandlers(action.attempt);
+    handlers.onHead = [self = shared_from_this(), attempt = action.attempt, target = action.target](const Net::HttpCallHead &head) {
         self->onResponseHead(attempt, target, head);
     };
+    m_call = m_services.targetClient.send(targetRequest(action), std::move(handlers));
+}
+
+void RelaySession::perform(const Gateway::HandOverRequest &action)
+{
+    m_services.metrics.counter("cassiarelay_requests_handed_over_total").add();
+    Net::HttpCallHandlers handlers = attemptHandlers(action.attempt);
+    handlers.onHead = [self = shared_from_this(), attempt = action.attempt](const Net::HttpCallHead &head) {
+        self->onReceiverHead(attempt, head);
+    };
+    m_call = m_services.peerClient.send(peerRequest(action), std::move(handlers));
+}
+
+Net::HttpCallHandlers RelaySession::attemptHandlers(Gateway::AttemptNumber attempt)
+{
+    const auto self = shared_from_this();
+    Net::HttpCallHandlers handlers;
     handlers.onBody = [self, attempt](const std::string &part) {
         self->perform(self->m_machine.onBody(attempt, part, std::chrono::steady_clock::now()));
     };
@@ -205,7 +226,7 @@
     handlers.onFailed = [self, attempt](Net::CallFailure failure, const std::string &detail) {
         self->perform(self->m_machine.onFailed(attempt, toFailure(failure), detail, std::chrono::steady_clock::now()));
     };
-    m_call = m_services.targetClient.send(targetRequest(action), std::move(handlers));
+    return handlers;
 }
 
 void RelaySession::perform(const Gateway::CancelAttempt &)
@@ -251,6 +272,11 @@
 
 void RelaySession::perform(const Gateway::RefuseRequest &action)
 {
+    if (action.declined) {
+        m_exchange->respond(declineResponse(*action.declined));
+        finish("declined", action.status, action.reason);
+        return;
+    }
     m_exchange->respond(refusalResponse(action, m_machine.request().id));
     finish("refused", action.status, action.reason);
 }
@@ -306,6 +332,37 @@
     return request;
 }
 
+Net::HttpCallRequest RelaySession::peerRequest(const Gateway::HandOverRequest &action) const
+{
+    const auto &message = m_exchange->request();
+    Gateway::PlatformRequest forwarded {
+        std::string(message.method_string()), std::string(message.target()), m_services.port.peerFields(m_callerFields), message.body()
+    };
+    removeHandoverField(forwarded.fields);
+    forwarded.fields.push_back(
+        { HANDOVER_FIELD, handoverText(action, m_machine.request(), m_services.vm, std::chrono::steady_clock::now()) });
+    Net::HttpCallRequest request = toCallRequest(action.receiver.endpoint, std::move(forwarded));
+    request.contentType.clear();
+    request.requestIdField = m_services.port.requestIdField();
+    request.deadline = action.deadline;
+    request.reuseConnection = !action.onNewConnection;
+    return request;
+}
+
+// What the target says of itself in the response is applied by the daemon that sent the request to it.
+void RelaySession::onReceiverHead(Gateway::AttemptNumber attempt, const Net::HttpCallHead &head)
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (const std::optional<Gateway::DeclineReason> reason = declineReason(head)) {
+        m_services.metrics.counter("cassiarelay_requests_declined_by_peers_total").add();
+        perform(m_machine.onDeclined(attempt, *reason, now));
+        return;
+    }
+    Gateway::TargetResponse response = m_services.port.readTargetResponse(head.status, toFieldList(head.fields));
+    response.head.hasOpenEnd = head.hasOpenEnd;
+    perform(m_machine.onHead(attempt, std::move(response.head), now));
+}
+
 void RelaySession::onResponseHead(Gateway::AttemptNumber attempt, const Gateway::TargetRecord &target, const Net::HttpCallHead &head)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
--- a/src/app/gateway/relaysession.h
+++ b/src/app/gateway/relaysession.h
@@ -34,6 +34,7 @@
     void perform(const Gateway::RequestPermitsFor &action);
     void perform(const Gateway::RecordStream &action);
     void perform(const Gateway::SendRequest &action);
+    void perform(const Gateway::HandOverRequest &action);
     void perform(const Gateway::CancelAttempt &action);
     void perform(const Gateway::ForwardResponse &action);
     void perform(const Gateway::ForwardHead &action);
@@ -45,8 +46,11 @@
     void perform(const Gateway::ArmTimer &action);
     void perform(const Gateway::LogDecision &action);
     Net::HttpCallRequest targetRequest(const Gateway::SendRequest &action) const;
+    Net::HttpCallRequest peerRequest(const Gateway::HandOverRequest &action) const;
+    Net::HttpCallHandlers attemptHandlers(Gateway::AttemptNumber attempt);
     void startResumed();
     void onOrigin(const std::optional<Gateway::StreamOrigin> &origin);
+    void onReceiverHead(Gateway::AttemptNumber attempt, const Net::HttpCallHead &head);
     void onStageFinished(std::size_t stage, const std::vector<Gateway::PieceCompletion> &completions);
     void onResponseHead(Gateway::AttemptNumber attempt, const Gateway::TargetRecord &target, const Net::HttpCallHead &head);
     void finish(std::string_view outcome, unsigned status, const std::string &reason);
--- a/src/app/gateway/requestdispatcher.cpp
+++ b/src/app/gateway/requestdispatcher.cpp
@@ -1,6 +1,7 @@
 #include "requestdispatcher.h"
 
 #include "fieldlist.h"
+#include "handovermessages.h"
 #include "refusalresponse.h"
 #include "relaysession.h"
 
@@ -38,11 +39,40 @@
 }
 
 void RequestDispatcher::handle(const Net::HttpExchangePointer &exchange)
+{
+    handle(exchange, toFieldList(exchange->request()), std::nullopt);
+}
+
+bool RequestDispatcher::isHandedOver(const Net::HttpRequest &request)
+{
+    return request.find(HANDOVER_FIELD) != request.end();
+}
+
+void RequestDispatcher::handleHandedOver(const Net::HttpExchangePointer &exchange)
+{
+    std::vector<HttpField> fields = toFieldList(exchange->request());
+    Schema::HandedOverRequest from;
+    try {
+        from = parseHandover(std::string(exchange->request()[HANDOVER_FIELD]));
+    } catch (const std::exception &error) {
+        decline(exchange, {}, {}, error.what());
+        return;
+    }
+    removeHandoverField(fields);
+    handle(exchange, std::move(fields), from);
+}
+
+void RequestDispatcher::handle(const Net::HttpExchangePointer &exchange,
+                               std::vector<HttpField> fields,
+                               const std::optional<Schema::HandedOverRequest> &from)
 {
     const auto &message = exchange->request();
-    std::vector<HttpField> fields = toFieldList(message);
     const Gateway::CallerRequestHead head = m_services.port.readCallerHead(fields);
     const Gateway::RouteTablePointer &table = m_services.catalogue.table();
+    if (from && (!table || table->version() < from->configuration)) {
+        decline(exchange, head.id, VmId(from->vm), "the configuration here is older");
+        return;
+    }
     if (!table) {
         refuse(exchange, head, notRunRefusal(Gateway::GiveUpCause::NoConfiguration, RETRY_AFTER_START));
         return;
@@ -65,7 +95,11 @@
     }
     const std::optional<Shutdown> &shutdown = m_services.shutdown;
     if (shutdown && !Gateway::canAcceptDuringShutdown(*route, std::chrono::steady_clock::now() - shutdown->startedAt, shutdown->duration)) {
-        refuse(exchange, head, notRunRefusal(Gateway::GiveUpCause::ShuttingDown, Gateway::RETRY_ELSEWHERE));
+        if (from) {
+            decline(exchange, head.id, VmId(from->vm), "this daemon is shutting down");
+        } else {
+            refuse(exchange, head, notRunRefusal(Gateway::GiveUpCause::ShuttingDown, Gateway::RETRY_ELSEWHERE));
+        }
         return;
     }
     Gateway::RelayRequest request;
@@ -76,16 +110,36 @@
     request.service = Gateway::RouteTable::pickService(*route, stableHash(head.id.value()));
     request.arrivedAt = exchange->arrivedAt();
     request.deadline = request.arrivedAt + head.requestTimeout.value_or(DEFAULT_REQUEST_TIMEOUT);
+    if (from) {
+        request.handover = toHandover(*from);
+        request.arrivedAt = exchange->arrivedAt() - std::chrono::milliseconds(from->ageMs);
+        request.deadline = exchange->arrivedAt() + std::chrono::milliseconds(from->leftMs);
+        const std::optional<Gateway::StreamOrigin> &origin = request.handover->origin;
+        if (origin && !route->sendsTo(origin->service)) {
+            decline(exchange, head.id, VmId(from->vm), "the route no longer leads to the service of the stream");
+            return;
+        }
+    }
     request.timeoutAt = route->timeout.count() > 0 ? request.arrivedAt + route->timeout : request.deadline;
     request.prompt = head.prompt;
     request.pieceCounts = head.pieceCounts;
     request.inputKey = head.inputKey;
-    request.resumeAfter = head.resumeAfter;
+    request.resumeAfter = from && from->resumeAfter ? from->resumeAfter : head.resumeAfter;
     request.resumedStream = head.resumedStream;
     request.fingerprint = fingerprintOf(target, organisation, message.body());
     std::make_shared<RelaySession>(m_services, exchange, std::move(fields), std::move(request))->start();
 }
 
+void RequestDispatcher::decline(const Net::HttpExchangePointer &exchange,
+                                const RequestId &request,
+                                const VmId &sender,
+                                const std::string &reason)
+{
+    m_services.log.write(
+        "declined", { { "request", request.value() }, { "vm", sender.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
+    exchange->respond(declineResponse(Gateway::DeclineReason::Unavailable));
+}
+
 void RequestDispatcher::refuse(const Net::HttpExchangePointer &exchange,
                                const Gateway::CallerRequestHead &head,
                                Gateway::RefuseRequest refusal)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "members.h"
 #include "piece.h"
 #include "platformport.h"
+#include "reachabilitytracker.h"
 #include "refusal.h"
 #include "relayaction.h"
 #include "relaymachine.h"
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -1,6 +1,7 @@
 #include "members.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
 namespace CassiaRelay::Gateway {
@@ -12,6 +13,7 @@
 constexpr std::size_t GREETINGS_PER_ROUND = 8;                     // all others in a cell; a tenth of the fleet with 81 daemons
 constexpr std::chrono::milliseconds FOLLOW_TIME { 2000 };          // longer than a stage takes
 constexpr double MIN_OWNER_CAPACITY = 0.5;                         // share of the highest capacity
+constexpr double MIN_CAPACITY = 0.01;                              // a member that names less still counts
 constexpr std::chrono::milliseconds FAILED_OWNER_BACKOFF { 1000 }; // a stopped daemon is detected within this time
 constexpr std::chrono::seconds CANDIDATE_LIFETIME { 10 };          // a restarted VM is back within seconds
 
@@ -63,7 +65,8 @@
     if (member.incarnation < state.member.incarnation) {
         return false;
     }
-    const bool isChanged = member.incarnation != state.member.incarnation || member.isLeaving != state.member.isLeaving;
+    const bool isChanged = member.incarnation != state.member.incarnation || member.isLeaving != state.member.isLeaving
+        || member.blockedServices != state.member.blockedServices;
     state.member = member;
     state.heardAt = now;
     return isChanged;
@@ -179,19 +182,60 @@
     state.followedUntil = now + FOLLOW_TIME;
 }
 
+void Members::setBlockedServices(std::set<ServiceName> services)
+{
+    m_blockedServices = std::move(services);
+}
+
+const std::set<ServiceName> &Members::blockedServices() const
+{
+    return m_blockedServices;
+}
+
+void Members::onBlocked(const VmId &vm, const ServiceName &service)
+{
+    const auto found = m_members.find(vm);
+    if (found != m_members.end()) {
+        found->second.member.blockedServices.insert(service);
+    }
+}
+
+void Members::avoid(const VmId &vm, MonotonicTime now)
+{
+    const auto found = m_members.find(vm);
+    if (found != m_members.end()) {
+        found->second.avoidedUntil = now + FAILED_OWNER_BACKOFF;
+    }
+}
+
+// Each member wins a part of all keys that is proportional to its capacity.
+double Members::weightedRank(const Member &member, std::uint64_t key)
+{
+    const double uniform = (static_cast<double>(stableHash(member.vm.value(), key)) + 1) / std::pow(2.0, 64);
+    return std::pow(uniform, 1 / std::max(member.capacity, MIN_CAPACITY));
+}
+
 // Rendezvous hashing; no value means this daemon.
 template<typename Condition>
-std::optional<Member> Members::highestRanked(const ServiceName &service, Condition isCandidate) const
+std::optional<Member> Members::highestRanked(const ServiceName &service, Condition isAvailable) const
 {
+    const bool isReached =
+        m_blockedServices.count(service) == 0 || std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+            return !entry.second.member.isLeaving && entry.second.member.blockedServices.count(service) == 0 && isAvailable(entry.second);
+        });
+    const auto isCandidate = [&](const State &state) {
+        return isAvailable(state) && (!isReached || state.member.blockedServices.count(service) == 0);
+    };
+    const bool isSelfCandidate = !m_isLeaving && (!isReached || m_blockedServices.count(service) == 0);
     const std::uint64_t seed = stableHash(service.value());
-    double maxCapacity = m_isLeaving ? 0 : m_capacity;
+    double maxCapacity = isSelfCandidate ? m_capacity : 0;
     for (const auto &[vm, state] : m_members) {
         if (!state.member.isLeaving && isCandidate(state)) {
             maxCapacity = std::max(maxCapacity, state.member.capacity);
         }
     }
     const double minCapacity = MIN_OWNER_CAPACITY * maxCapacity;
-    std::uint64_t highest = m_isLeaving || m_capacity < minCapacity ? 0 : stableHash(m_self.value(), seed);
+    std::uint64_t highest = !isSelfCandidate || m_capacity < minCapacity ? 0 : stableHash(m_self.value(), seed);
     const Member *first = nullptr;
     for (const auto &[vm, state] : m_members) {
         const std::uint64_t rank = stableHash(vm.value(), seed);
@@ -221,10 +265,7 @@
     if (now >= hardDeadline) {
         return false;
     }
-    const auto found = m_members.find(vm);
-    if (found != m_members.end()) {
-        found->second.avoidedUntil = now + FAILED_OWNER_BACKOFF;
-    }
+    avoid(vm, now);
     return true;
 }
 
--- a/src/libs/gateway/members.h
+++ b/src/libs/gateway/members.h
@@ -17,6 +17,8 @@
     bool isLeaving = false;
     double capacity = 1;                              ///< processing capacity of its VM, compared with the others
     std::optional<std::uint64_t> knownDaemonsHash {}; ///< Members::knownDaemonsHash() of that daemon
+    FailureDomain failureDomain {};
+    std::set<ServiceName> blockedServices {}; ///< services of which it reaches no target
 };
 
 /**
@@ -34,7 +36,7 @@
 
     const VmId &self() const;
     void setSeeds(std::vector<Endpoint> seeds);
-    /** @return true when the member is new, has a new incarnation or has started or stopped leaving */
+    /** @return true when the member is new, has a new incarnation, has started or stopped leaving, or reaches other services than before */
     bool onGreeting(const Member &member, const std::vector<Endpoint> &known, MonotonicTime now);
     /** Removes and returns the members whose last greeting is too old. */
     std::vector<Member> expire(MonotonicTime now);
@@ -49,10 +51,27 @@
     void onHeard(const VmId &vm, MonotonicTime now);
     /** Detects for a few seconds within a second when the daemon is lost. */
     void follow(const VmId &vm, MonotonicTime now);
+    /** Sets the services of which this daemon reaches no target. */
+    void setBlockedServices(std::set<ServiceName> services);
+    const std::set<ServiceName> &blockedServices() const;
+    /** The daemon has declined a request because it reaches no target of the service; its next greeting may tell otherwise. */
+    void onBlocked(const VmId &vm, const ServiceName &service);
+    /** The daemon could not be reached, or takes no requests now. It is passed over for a while. */
+    void avoid(const VmId &vm, MonotonicTime now);
+    /**
+     * A daemon that can place a request for the service which this one can't place; no value if there is none.
+     *
+     * Requests are spread over the daemons by their capacity.
+     * @param key of the request
+     * @param mayReceive called with a member; false excludes it
+     */
+    template<typename Condition>
+    std::optional<Member> receiver(const ServiceName &service, std::uint64_t key, MonotonicTime now, Condition mayReceive) const;
     /**
      * The daemon that collects the pieces of a service; no value when it is this daemon.
      *
      * Only daemons with at least half of the highest capacity collect pieces, because those of the whole fleet pass through one daemon.
+     * Daemons that reach no target of the service are skipped unless no daemon reaches any.
      */
     std::optional<Member> owner(const ServiceName &service) const;
     /** Like owner(), but skips daemons at which an order has recently failed. Used for new orders. */
@@ -103,14 +122,36 @@
 
     Duration greetingTimeout(const State &state, MonotonicTime now) const;
     void updateMaxKnownCount();
+    /** Share of 0 to 1 that the member would have in a rendezvous ranking by capacity; the highest one is chosen. */
+    static double weightedRank(const Member &member, std::uint64_t key);
 
     VmId m_self;
     Endpoint m_endpoint;
     double m_capacity;
     int m_maxKnownCount = 0;
     bool m_isLeaving = false;
+    std::set<ServiceName> m_blockedServices;
     std::map<VmId, State> m_members;
     std::map<std::string, Candidate> m_candidates; ///< by address
 };
 
+template<typename Condition>
+std::optional<Member> Members::receiver(const ServiceName &service, std::uint64_t key, MonotonicTime now, Condition mayReceive) const
+{
+    const Member *best = nullptr;
+    double bestRank = 0;
+    for (const auto &[vm, state] : m_members) {
+        const Member &member = state.member;
+        if (member.isLeaving || state.avoidedUntil > now || member.blockedServices.count(service) > 0 || !mayReceive(member)) {
+            continue;
+        }
+        const double rank = weightedRank(member, key);
+        if (!best || rank > bestRank) {
+            best = &member;
+            bestRank = rank;
+        }
+    }
+    return best ? std::optional(*best) : std::nullopt;
+}
+
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "members.h"
 #include "piece.h"
 #include "relayrequest.h"
 #include "streamdirectory.h"
@@ -10,6 +11,13 @@
 
 using AttemptNumber = int;
 
+/** Why a daemon does not run a request that another one has handed over. */
+enum class DeclineReason {
+    Blocked,     ///< it reaches no target of the service
+    Unreachable, ///< it has not reached those that it tried
+    Unavailable, ///< it is shutting down, or has no configuration as new as that of the other daemon
+};
+
 /** Status and header fields of a target's response. */
 struct ResponseHead {
     unsigned status = 0;
@@ -52,6 +60,16 @@
     std::size_t maxIdleConnections = 0; ///< to this target, after the response
 };
 
+/** Hands the request over to another daemon, whose response is that of an attempt, or RelayMachine::onDeclined(). */
+struct HandOverRequest {
+    AttemptNumber attempt = 0;
+    Member receiver;
+    MonotonicTime deadline;
+    Handover handover;
+    std::optional<std::string> resumeAfter; ///< id of the last event of a stream that has begun here
+    bool onNewConnection = false;           ///< no reuse: an idle connection might be closed just as the request is sent
+};
+
 /** Gets permits for the targets of the service from another daemon, then calls RelayMachine::onPermits(). */
 struct RequestPermitsFor {
     ServiceName service;
@@ -91,6 +109,7 @@
     unsigned status = 503;
     std::optional<Duration> retryAfter;
     std::string reason;
+    std::optional<DeclineReason> declined = std::nullopt; ///< set if the daemon that handed the request over may place it elsewhere
 };
 
 /** Ends a request whose caller has disconnected, without a response; the last action. */
@@ -114,6 +133,7 @@
                                  RequestPermitsFor,
                                  RecordStream,
                                  SendRequest,
+                                 HandOverRequest,
                                  CancelAttempt,
                                  ForwardResponse,
                                  ForwardHead,
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t MAX_BUFFERED_RESPONSE_BYTES = 8U * 1024 * 1024; // responses that are not streams are buffered until complete
 constexpr std::size_t MAX_EVENT_BYTES = 1024 * 1024;
 constexpr int MAX_CONNECT_FAILURES = 4; // each can take a full connect timeout
+// Then another daemon may reach a target sooner, if there is one; with this one all targets may be out of reach.
+constexpr int CONNECT_FAILURES_BEFORE_HANDOVER = 2;
+// Daemons that a request is handed over to. In a large fleet, a greeting may be so old that half of them decline.
+constexpr std::size_t MAX_RECEIVERS = 8;
 constexpr int MAX_STAGE_RESTARTS = 1;
 constexpr std::size_t LARGE_INPUT_BYTES = 100'000; // for smaller results, a fetch from another domain costs less than a worse target
 constexpr std::chrono::milliseconds MIN_USEFUL_TIME { 20 };      // no target responds faster
@@ -69,12 +73,22 @@
     , m_plan(m_request.route->stages, m_request.pieceCounts)
     , m_orderedAt(m_plan.size())
 {
+    if (m_request.handover) {
+        m_attemptsElsewhere = m_request.handover->attempts;
+        m_avoidedTargets = m_request.handover->triedTargets;
+        if (m_request.handover->origin) {
+            setOrigin(*m_request.handover->origin);
+        }
+    }
 }
 
 RelayActions RelayMachine::start(MonotonicTime now)
 {
     RelayActions actions;
-    m_context.retries.recordRequest(m_request.service, now);
+    // The daemon that handed the request over has counted it.
+    if (!m_request.handover) {
+        m_context.retries.recordRequest(m_request.service, now);
+    }
     const Admission admission = m_context.crashes.admit(m_suspects, now);
     if (admission == Admission::Banned) {
         refuseBanned(actions, now);
@@ -88,6 +102,10 @@
         giveUp(GiveUpCause::DeadlineUnreachable, {}, RETRY_SOON, actions);
         return actions;
     }
+    actions.emplace_back(ArmTimer { m_request.endsAt() });
+    if (redirect(actions, now)) {
+        return actions;
+    }
     const Duration stageTime = expectedTotalStageTime(now);
     const Duration objective = m_request.route->objective;
     if (stageTime + TIME_TO_FIRST_EVENT > objective * OVERLOAD_PERCENT / 100 && objective > Duration::zero()) {
@@ -97,7 +115,6 @@
                actions);
         return actions;
     }
-    actions.emplace_back(ArmTimer { m_request.endsAt() });
     orderReadyStages(actions, now);
     return actions;
 }
@@ -170,10 +187,13 @@
     if (!isCurrent(attempt)) {
         return actions;
     }
-    if (head.status == STATUS_MISDIRECTED) {
-        m_context.crashes.recordTargetGone(m_attempt->target.id, now);
-    } else {
-        m_context.crashes.recordResponse(m_attempt->target.id, m_attempt->sentAt);
+    if (!m_attempt->receiver) {
+        m_context.reachability.recordResponse(m_request.service, now);
+        if (head.status == STATUS_MISDIRECTED) {
+            m_context.crashes.recordTargetGone(m_attempt->target.id, now);
+        } else {
+            m_context.crashes.recordResponse(m_attempt->target.id, m_attempt->sentAt);
+        }
     }
     const bool isSuccess = head.status >= STATUS_OK && head.status < 300;
     if (isSuccess && !head.isStamped) {
@@ -225,7 +245,7 @@
     if (!isCurrent(attempt) || !m_attempt->head) {
         return actions;
     }
-    if (m_attempt->head->isNotRun || m_attempt->head->status == STATUS_MISDIRECTED) {
+    if (!m_attempt->receiver && (m_attempt->head->isNotRun || m_attempt->head->status == STATUS_MISDIRECTED)) {
         onNotRun(actions, now);
         return actions;
     }
@@ -235,12 +255,16 @@
     }
     const ResponseHead head = *m_attempt->head;
     if (m_framer.hasPartialEvent() || (head.hasOpenEnd && !m_streamStarted)) {
-        m_context.crashes.recordConnectionLoss(m_suspects, m_attempt->target, now);
+        if (!m_attempt->receiver) {
+            m_context.crashes.recordConnectionLoss(m_suspects, m_attempt->target, now);
+        }
         const std::string detail = m_streamStarted ? "the stream ended within an event" : "the stream ended before its first event";
         onResponseLost(GiveUpCause::IncompleteResponse, detail, actions, now);
         return actions;
     }
-    recordCompletion(head, m_attempt->target, now);
+    if (!m_attempt->receiver) {
+        recordCompletion(head, m_attempt->target, now);
+    }
     endAttempt(AttemptResult::Succeeded, now);
     if (m_streamStarted) {
         finish(EndStream {}, actions);
@@ -256,24 +280,33 @@
     if (!isCurrent(attempt)) {
         return actions;
     }
+    const bool isAtTarget = !m_attempt->receiver;
+    if (isAtTarget && failure != AttemptFailure::TimedOut && failure != AttemptFailure::InvalidResponse) {
+        m_context.reachability.recordFailure(m_request.service, now);
+    }
     switch (failure) {
     case AttemptFailure::Refused:
-        m_context.crashes.recordTargetGone(m_attempt->target.id, now);
+        if (isAtTarget) {
+            m_context.crashes.recordTargetGone(m_attempt->target.id, now);
+        }
         [[fallthrough]];
     case AttemptFailure::NotSent: {
-        const TargetId target = m_attempt->target.id;
-        m_triedTargets.erase(target);
-        endAttempt(AttemptResult::Unreachable, now);
-        logDecision(actions, "request not sent", "target=" + target.value() + " why=" + detail);
-        if (++m_connectFailures < MAX_CONNECT_FAILURES && now + MIN_USEFUL_TIME < m_request.endsAt()) {
-            send(actions, now);
+        const std::string receiver = receiverText();
+        if (isAtTarget) {
+            m_triedTargets.erase(m_attempt->target.id);
         } else {
-            giveUp(GiveUpCause::TargetUnreachable, detail, RETRY_LATER, actions);
+            m_context.members.avoid(*m_attempt->receiver, now);
         }
+        endAttempt(AttemptResult::Unreachable, now);
+        logDecision(actions, "request not sent", receiver + " why=" + detail);
+        ++m_connectFailures;
+        sendElsewhere(GiveUpCause::TargetUnreachable, detail, RETRY_LATER, actions, now);
         break;
     }
     case AttemptFailure::ConnectionLost:
-        m_context.crashes.recordConnectionLoss(m_suspects, m_attempt->target, now);
+        if (isAtTarget) {
+            m_context.crashes.recordConnectionLoss(m_suspects, m_attempt->target, now);
+        }
         onResponseLost(GiveUpCause::IncompleteResponse, detail, actions, now);
         break;
     case AttemptFailure::Unresponsive:
@@ -291,6 +324,24 @@
     return actions;
 }
 
+RelayActions RelayMachine::onDeclined(AttemptNumber attempt, DeclineReason reason, MonotonicTime now)
+{
+    RelayActions actions;
+    if (!isCurrent(attempt) || !m_attempt->receiver) {
+        return actions;
+    }
+    const VmId receiver = *m_attempt->receiver;
+    endAttempt(AttemptResult::Refused, now);
+    if (reason == DeclineReason::Blocked) {
+        m_context.members.onBlocked(receiver, m_request.service);
+    } else if (reason == DeclineReason::Unavailable) {
+        m_context.members.avoid(receiver, now);
+    }
+    logDecision(actions, "declined", "vm=" + receiver.value() + " reason=" + std::string(toString(reason)));
+    sendElsewhere(GiveUpCause::TargetUnreachable, "declined", RETRY_LATER, actions, now);
+    return actions;
+}
+
 RelayActions RelayMachine::onTimer(MonotonicTime now)
 {
     RelayActions actions;
@@ -454,13 +505,16 @@
         refuseBanned(actions, now);
         return;
     }
+    if (redirect(actions, now)) {
+        return;
+    }
     // The stage results were freed once the previous target had fetched them, but another target needs them again.
     if (std::exchange(m_inputsFreed, false)) {
         restartStages(actions, now);
         return;
     }
-    if (m_triedTargets.size() >= static_cast<std::size_t>(m_request.route->maxAttempts) && !m_triedTargets.empty()) {
-        const std::optional<TargetRecord> same = m_context.targets.find(*m_triedTargets.begin());
+    if (attemptsUsed() >= static_cast<std::size_t>(m_request.route->maxAttempts) && attemptsUsed() > 0) {
+        const std::optional<TargetRecord> same = m_triedTargets.empty() ? std::nullopt : m_context.targets.find(*m_triedTargets.begin());
         if (!same || !isAllowedAgain(*same) || !m_context.targets.startAttempt(same->id, m_request.prompt.promptTokens, now)) {
             giveUp(GiveUpCause::NoTarget, "the target that may get the request is gone", RETRY_SOON, actions);
             return;
@@ -481,11 +535,122 @@
                        m_permitTarget = needed.best;
                        actions.emplace_back(RequestPermitsFor { m_request.service });
                    },
-                   [&](const NoTarget &none) { fallBackOrGiveUp(GiveUpCause::NoTarget, none.reason, none.retryAfter, actions); },
+                   [&](const NoTarget &none) {
+                       if (m_connectFailures == 0 || !handOver(actions, now)) {
+                           fallBackOrGiveUp(GiveUpCause::NoTarget, none.reason, none.retryAfter, actions);
+                       }
+                   },
                },
                m_context.targets.choose(targetRequirements(), now));
 }
 
+// Continues a request that nobody has run.
+void RelayMachine::sendElsewhere(
+    GiveUpCause cause, const std::string &detail, Duration retryAfter, RelayActions &actions, MonotonicTime now)
+{
+    if (m_connectFailures >= CONNECT_FAILURES_BEFORE_HANDOVER && handOver(actions, now)) {
+        return;
+    }
+    if (m_connectFailures < MAX_CONNECT_FAILURES && now + MIN_USEFUL_TIME < m_request.endsAt()) {
+        send(actions, now);
+    } else {
+        giveUp(cause, detail, retryAfter, actions);
+    }
+}
+
+// Other causes hold at all daemons.
+std::optional<DeclineReason> RelayMachine::declineReason(GiveUpCause cause) const
+{
+    switch (cause) {
+    case GiveUpCause::TargetUnreachable:
+        return m_context.reachability.isBlocked(m_request.service) ? DeclineReason::Blocked : DeclineReason::Unreachable;
+    case GiveUpCause::ShuttingDown:
+        return DeclineReason::Unavailable;
+    default:
+        return std::nullopt;
+    }
+}
+
+bool RelayMachine::redirect(RelayActions &actions, MonotonicTime now)
+{
+    if (!m_context.reachability.isBlocked(m_request.service)) {
+        return false;
+    }
+    if (handOver(actions, now)) {
+        return true;
+    }
+    // A request that may run once needs a new connection, and there is none to be had.
+    if (!m_request.handover && m_request.route->isRepeatable() && m_context.reachability.mayTryBlocked(m_request.service, now)) {
+        return false;
+    }
+    fallBackOrGiveUp(GiveUpCause::TargetUnreachable, m_request.handover ? "" : "no daemon reaches one", RETRY_LATER, actions);
+    return true;
+}
+
+// The other daemon runs the stages again: it can't free results at targets for this one, which does not reach them.
+bool RelayMachine::handOver(RelayActions &actions, MonotonicTime now)
+{
+    const bool isSpent = attemptsUsed() >= static_cast<std::size_t>(m_request.route->maxAttempts) && attemptsUsed() > 0;
+    if (m_request.handover || isSpent || m_triedReceivers.size() >= MAX_RECEIVERS || now + MIN_USEFUL_TIME > m_request.endsAt()) {
+        return false;
+    }
+    const std::optional<Member> receiver =
+        m_context.members.receiver(m_request.service, stableHash(m_request.id.value()), now, [this](const Member &member) {
+            return m_triedReceivers.count(member.vm) == 0 && isAllowedReceiver(member);
+        });
+    if (!receiver) {
+        return false;
+    }
+    std::vector<StageResult> results = m_plan.takeAllResults();
+    if (!results.empty()) {
+        m_inputsFreed = true;
+        actions.emplace_back(FreeResults { std::move(results) });
+    }
+    Attempt attempt;
+    attempt.number = ++m_attemptCount;
+    attempt.receiver = receiver->vm;
+    attempt.sentAt = now;
+    m_attempt = std::move(attempt);
+    m_triedReceivers.insert(receiver->vm);
+    HandOverRequest action;
+    action.attempt = m_attemptCount;
+    action.receiver = *receiver;
+    action.deadline = m_request.endsAt();
+    action.handover.attempts = static_cast<int>(attemptsUsed());
+    action.handover.triedTargets = m_triedTargets;
+    if (m_streamStarted) {
+        action.resumeAfter = m_framer.lastEventId();
+    }
+    if (m_softwareVersion) {
+        action.handover.origin = StreamOrigin { m_request.service, *m_softwareVersion };
+    }
+    action.onNewConnection = !m_request.route->isRepeatable();
+    logDecision(actions, "handed over", "vm=" + receiver->vm.value() + " service=" + m_request.service.value());
+    actions.emplace_back(std::move(action));
+    return true;
+}
+
+bool RelayMachine::isAllowedReceiver(const Member &member) const
+{
+    const std::vector<Region> &allowed = m_request.route->allowedRegions;
+    if (allowed.empty()) {
+        return true;
+    }
+    const std::optional<Region> region = m_context.targets.regionOf(member.failureDomain);
+    return region && std::find(allowed.begin(), allowed.end(), *region) != allowed.end();
+}
+
+// Targets that may have received the request, from any daemon.
+std::size_t RelayMachine::attemptsUsed() const
+{
+    return m_triedTargets.size() + static_cast<std::size_t>(m_attemptsElsewhere);
+}
+
+std::string RelayMachine::receiverText() const
+{
+    return m_attempt->receiver ? "vm=" + m_attempt->receiver->value() : "target=" + m_attempt->target.id.value();
+}
+
 void RelayMachine::sendTo(const TargetRecord &target, RelayActions &actions, MonotonicTime now)
 {
     Attempt attempt;
@@ -603,7 +768,7 @@
 
 bool RelayMachine::tryAcquireRetry(MonotonicTime now)
 {
-    return m_triedTargets.size() < static_cast<std::size_t>(m_request.route->maxAttempts) && now + MIN_USEFUL_TIME < m_request.endsAt()
+    return attemptsUsed() < static_cast<std::size_t>(m_request.route->maxAttempts) && now + MIN_USEFUL_TIME < m_request.endsAt()
         && m_context.retries.tryConsume(m_request.service, m_context.vmCount, now);
 }
 
@@ -618,7 +783,9 @@
 
 void RelayMachine::endAttempt(AttemptResult result, MonotonicTime now)
 {
-    m_context.targets.finishAttempt(m_attempt->target.id, result, m_attempt->pendingPromptTokens, now);
+    if (!m_attempt->receiver) {
+        m_context.targets.finishAttempt(m_attempt->target.id, result, m_attempt->pendingPromptTokens, now);
+    }
     m_attempt.reset();
 }
 
@@ -635,7 +802,7 @@
     m_streamStarted = true;
     logDecision(actions,
                 "first event",
-                "target=" + m_attempt->target.id.value() + " since_sent_ms=" + millisecondsText(now - m_attempt->sentAt)
+                receiverText() + " since_sent_ms=" + millisecondsText(now - m_attempt->sentAt)
                     + " since_arrival_ms=" + millisecondsText(now - m_request.arrivedAt));
     actions.emplace_back(ForwardHead { *m_attempt->head });
     std::vector<StageResult> fetched = m_plan.takeAllResults();
@@ -649,6 +816,12 @@
 {
     ResponseHead head = std::move(*m_attempt->head);
     std::string body = std::move(m_attempt->body);
+    if (m_attempt->receiver) {
+        // The other daemon has decided about retries.
+        endAttempt(AttemptResult::Succeeded, now);
+        finish(ForwardResponse { std::move(head), std::move(body) }, actions);
+        return;
+    }
     const bool isFailure = head.status >= STATUS_SERVER_ERROR;
     m_context.targets.addLatencySample(m_attempt->target.id, now - m_attempt->sentAt);
     if (!isFailure) {
@@ -685,8 +858,9 @@
 void RelayMachine::onResponseLost(GiveUpCause cause, const std::string &detail, RelayActions &actions, MonotonicTime now)
 {
     m_runState = RunState::MayHaveRun;
-    const std::string inputs = "target=" + m_attempt->target.id.value() + " since_sent_ms=" + millisecondsText(now - m_attempt->sentAt)
+    const std::string inputs = receiverText() + " since_sent_ms=" + millisecondsText(now - m_attempt->sentAt)
         + " connection=" + (m_request.route->isRepeatable() ? "any" : "new") + " why=" + detail;
+    m_attemptsElsewhere += m_attempt->receiver ? 1 : 0;
     endAttempt(AttemptResult::Broken, now);
     m_framer.discardPartialEvent();
     logDecision(actions, "response lost", inputs);
@@ -713,7 +887,11 @@
         finish(AbortStream {}, actions);
         return;
     }
-    finish(refusalFor(cause, m_runState, jittered(retryAfter), detail), actions);
+    RefuseRequest refusal = refusalFor(cause, m_runState, jittered(retryAfter), detail);
+    if (m_request.handover && m_runState == RunState::NotRun) {
+        refusal.declined = declineReason(cause);
+    }
+    finish(std::move(refusal), actions);
 }
 
 void RelayMachine::finish(RelayAction last, RelayActions &actions)
@@ -742,4 +920,17 @@
     return std::chrono::duration_cast<Duration>(time * (0.5 + position));
 }
 
+std::string_view toString(DeclineReason reason)
+{
+    switch (reason) {
+    case DeclineReason::Blocked:
+        return "blocked";
+    case DeclineReason::Unreachable:
+        return "unreachable";
+    case DeclineReason::Unavailable:
+        return "unavailable";
+    }
+    return "";
+}
+
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -2,6 +2,8 @@
 
 #include "crashtracker.h"
 #include "eventframer.h"
+#include "members.h"
+#include "reachabilitytracker.h"
 #include "refusal.h"
 #include "relayaction.h"
 #include "retrybudget.h"
@@ -20,6 +22,8 @@
     RetryBudget &retries;
     CrashTracker &crashes;
     StageLatencyEstimator &stageLatency;
+    ReachabilityTracker &reachability;
+    Members &members;
     int vmCount = 1; ///< daemons among which the retry budget is divided
 };
 
@@ -35,6 +39,7 @@
 
 /**
  * Runs one request: first its stages, then the request itself, on one target after another up to the attempt limit of its route.
+ * When this daemon reaches no target of the service, the request is handed over to another daemon.
  *
  * Performs no I/O: each call returns the actions to perform. An action documented as the last one ends the request; none follows it.
  */
@@ -56,6 +61,8 @@
     RelayActions onBody(AttemptNumber attempt, std::string_view bytes, MonotonicTime now);
     RelayActions onFinished(AttemptNumber attempt, MonotonicTime now);
     RelayActions onFailed(AttemptNumber attempt, AttemptFailure failure, const std::string &detail, MonotonicTime now);
+    /** The daemon that the request was handed over to has not run it and will not. */
+    RelayActions onDeclined(AttemptNumber attempt, DeclineReason reason, MonotonicTime now);
     RelayActions onTimer(MonotonicTime now);
     RelayActions onCallerGone(MonotonicTime now);
     /** Ends the request because the process is about to exit: refuses it, or aborts its stream. */
@@ -69,6 +76,7 @@
     struct Attempt {
         AttemptNumber number = 0;
         TargetRecord target;
+        std::optional<VmId> receiver; ///< daemon that the request was handed over to; there is no target then
         MonotonicTime sentAt;
         std::optional<ResponseHead> head;
         std::string body;                     ///< buffered body of a response that is not a stream
@@ -91,6 +99,14 @@
     Duration expectedTimeThrough(std::size_t stage, MonotonicTime now) const;
     Duration expectedTotalStageTime(MonotonicTime now) const;
     void send(RelayActions &actions, MonotonicTime now);
+    void sendElsewhere(GiveUpCause cause, const std::string &detail, Duration retryAfter, RelayActions &actions, MonotonicTime now);
+    std::optional<DeclineReason> declineReason(GiveUpCause cause) const;
+    /** Hands the request over, or refuses it, if its service is blocked. Returns false if it is to be sent to a target from here. */
+    bool redirect(RelayActions &actions, MonotonicTime now);
+    bool handOver(RelayActions &actions, MonotonicTime now);
+    bool isAllowedReceiver(const Member &member) const;
+    std::size_t attemptsUsed() const;
+    std::string receiverText() const;
     void sendTo(const TargetRecord &target, RelayActions &actions, MonotonicTime now);
     TargetRequirements targetRequirements() const;
     std::optional<FailureDomain> preferredDomainFor(std::size_t stage, MonotonicTime now);
@@ -123,6 +139,8 @@
     std::optional<Attempt> m_attempt;
     AttemptNumber m_attemptCount = 0;
     int m_connectFailures = 0;
+    int m_attemptsElsewhere = 0;         ///< by other daemons
+    std::set<VmId> m_triedReceivers;     ///< daemons to which the request was handed over
     std::set<TargetId> m_triedTargets;   ///< targets that may have received part of the request
     std::set<TargetId> m_avoidedTargets; ///< targets that later attempts avoid: tried or unreachable
     RunState m_runState = RunState::NotRun;
@@ -136,4 +154,7 @@
     bool m_finished = false;
 };
 
+/** Text for the log and for other daemons. */
+std::string_view toString(DeclineReason reason);
+
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/relayrequest.h
+++ b/src/libs/gateway/relayrequest.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "routetable.h"
+#include "streamdirectory.h"
 
 #include <optional>
+#include <set>
 
 namespace CassiaRelay::Gateway {
 
@@ -20,7 +22,14 @@
     std::vector<PromptPart> parts;                    ///< in prompt order; the last one is specific to the request
 };
 
-/** A request accepted from a caller. */
+/** What the daemon that handed a request over has done for it. */
+struct Handover {
+    int attempts = 0; ///< targets to which it may have been sent
+    std::set<TargetId> triedTargets;
+    std::optional<StreamOrigin> origin; ///< of a stream that is bound to one
+};
+
+/** A request accepted from a caller, or from the daemon that accepted it. */
 struct RelayRequest {
     RequestId id;
     RouteTablePointer table; ///< keeps route and organisation alive
@@ -36,6 +45,7 @@
     std::optional<std::string> resumeAfter; ///< id of the last event that the caller received
     std::optional<RequestId> resumedStream; ///< request that brought the first event of the stream
     Fingerprint fingerprint;
+    std::optional<Handover> handover; ///< set if another daemon has handed the request over; it is not handed over again
 
     /** Whether the caller resumes a stream of which it has events. */
     bool isResumption() const
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -212,6 +212,30 @@
     return records;
 }
 
+std::vector<TargetRecord> TargetRegistry::sample(const ServiceName &service, std::size_t maxCount)
+{
+    std::vector<TargetRecord> records;
+    const auto ids = m_byService.find(service);
+    if (ids == m_byService.end()) {
+        return records;
+    }
+    for (const TargetId &id : ids->second) {
+        const Target &target = m_targets.at(id);
+        if (isAllowed(target, {})) {
+            records.push_back(target.record);
+        }
+    }
+    std::shuffle(records.begin(), records.end(), m_random);
+    records.resize(std::min(records.size(), maxCount));
+    return records;
+}
+
+std::optional<Region> TargetRegistry::regionOf(const FailureDomain &domain) const
+{
+    const auto found = m_regions.find(domain);
+    return found == m_regions.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::optional<StreamOrigin> TargetRegistry::onlyVersion(const ServiceName &service) const
 {
     const auto ids = m_byService.find(service);
@@ -271,8 +295,8 @@
     if (regions.empty()) {
         return true;
     }
-    const auto region = m_regions.find(target.record.failureDomain);
-    return region != m_regions.end() && std::find(regions.begin(), regions.end(), region->second) != regions.end();
+    const std::optional<Region> region = regionOf(target.record.failureDomain);
+    return region && std::find(regions.begin(), regions.end(), *region) != regions.end();
 }
 
 // The limit applies to all daemons together, so each uses an equal share.
--- a/src/libs/gateway/targetregistry.h
+++ b/src/libs/gateway/targetregistry.h
@@ -91,6 +91,10 @@
 
     /** Returns the targets of the service that may be given work now. */
     std::vector<TargetRecord> usableTargets(const ServiceName &service, MonotonicTime now) const;
+    /** Returns up to so many targets of the service that may be given work, chosen at random, whatever their health. */
+    std::vector<TargetRecord> sample(const ServiceName &service, std::size_t maxCount);
+    /** Returns the region of a failure domain; no value if it is unknown. */
+    std::optional<Region> regionOf(const FailureDomain &domain) const;
     /** Returns the service with its software version if all its targets run the same one. */
     std::optional<StreamOrigin> onlyVersion(const ServiceName &service) const;
     std::optional<TargetRecord> find(const TargetId &id) const;
--- a/tests/auto/gateway/crashsimulation.cpp
+++ b/tests/auto/gateway/crashsimulation.cpp
@@ -30,7 +30,9 @@
     RetryBudget retries { { 0.2, 1000, seconds(10) } };
     CrashTracker crashes;
     StageLatencyEstimator stageLatency;
-    RelayContext context { targets, retries, crashes, stageLatency, 1 };
+    ReachabilityTracker reachability;
+    Members members { VmId("vm"), {} };
+    RelayContext context { targets, retries, crashes, stageLatency, reachability, members, 1 };
 };
 
 /** One request at a daemon. */
--- a/tests/auto/gateway/simulatedfleet.cpp
+++ b/tests/auto/gateway/simulatedfleet.cpp
@@ -139,7 +139,9 @@
         }
     }
     m_onGreeting(from, to);
-    if (members(to).onGreeting({ vmId(from), endpointOf(from), 1, false }, known, now) && m_onChange) {
+    Member sender { vmId(from), endpointOf(from), 1, false };
+    sender.blockedServices = members(from).blockedServices();
+    if (members(to).onGreeting(sender, known, now) && m_onChange) {
         m_onChange(to);
     }
 }
--- a/tests/auto/gateway/stagechainsimulation.h
+++ b/tests/auto/gateway/stagechainsimulation.h
@@ -77,7 +77,9 @@
     RetryBudget m_retries { { 0.2, 1000, seconds(10) } };
     CrashTracker m_crashes;
     StageLatencyEstimator m_stageTimes;
-    RelayContext m_context { m_targets, m_retries, m_crashes, m_stageTimes, 1 };
+    ReachabilityTracker m_reachability;
+    Members m_members { VmId("vm"), {} };
+    RelayContext m_context { m_targets, m_retries, m_crashes, m_stageTimes, m_reachability, m_members, 1 };
     std::shared_ptr<const RouteTable> m_table;
     std::vector<StageScheduler> m_schedulers;
     std::vector<Request> m_requests;
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -40,7 +40,9 @@
     RetryBudget retries { { 0.2, 1000, seconds(10) } };
     CrashTracker crashes;
     StageLatencyEstimator stageLatency;
-    RelayContext context { targets, retries, crashes, stageLatency, 1 };
+    ReachabilityTracker reachability;
+    Members members { VmId("vm-0"), {} };
+    RelayContext context { targets, retries, crashes, stageLatency, reachability, members, 1 };
 };
 
 ResponseHead head(unsigned status, bool stamped = true, bool notRun = false)
