Send nothing more to targets that say they are leaving

Cause: targets say in all answers that they are leaving (DRAIN); only the store's entry was read, which may come later or never.

Change: the statement holds for this start of the target, also while its entry is missing or says that it is ready. The response to a request that was handed over names the target, so that the daemon that passes it on is bound as well.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -496,6 +496,7 @@
     const MonotonicTime now = std::chrono::steady_clock::now();
     onCatalogueChanges(m_catalogue.expire(now));
     m_targets.rateLimits().removeExpired(now);
+    m_targets.removeExpiredStatements(now);
     m_crashes.expire(now);
     logCrashEvents();
     m_streamBroker.removeExpired();
--- a/src/app/gateway/handovermessages.cpp
+++ b/src/app/gateway/handovermessages.cpp
@@ -14,10 +14,12 @@
 
 } // namespace
 
-void removeHandoverField(std::vector<HttpField> &fields)
+void removeCellFields(std::vector<HttpField> &fields)
 {
-    const auto isHandover = [](const HttpField &field) { return boost::beast::iequals(field.name, HANDOVER_FIELD); };
-    fields.erase(std::remove_if(fields.begin(), fields.end(), isHandover), fields.end());
+    const auto isOfCell = [](const HttpField &field) {
+        return boost::beast::iequals(field.name, HANDOVER_FIELD) || boost::beast::iequals(field.name, LEAVING_TARGET_FIELD);
+    };
+    fields.erase(std::remove_if(fields.begin(), fields.end(), isOfCell), fields.end());
 }
 
 std::string handoverText(const Gateway::HandOverRequest &action,
--- a/src/app/gateway/handovermessages.h
+++ b/src/app/gateway/handovermessages.h
@@ -10,12 +10,15 @@
 
 /**
  * A request that is handed over keeps its method, path, fields and body. This field holds Schema::HandedOverRequest as JSON and is the
- * only one that is added.
+ * only one that is added to it.
  */
 inline constexpr const char *HANDOVER_FIELD = "Cell-Handover";
 
-/** Removes HANDOVER_FIELD, which callers may have sent as well. */
-void removeHandoverField(std::vector<HttpField> &fields);
+/** In the response to a request that was handed over, names the target if it has said that it is leaving. */
+inline constexpr const char *LEAVING_TARGET_FIELD = "Cell-Leaving-Target";
+
+/** Removes the fields that daemons send each other; others may have sent them as well. */
+void removeCellFields(std::vector<HttpField> &fields);
 /** Returns the value of HANDOVER_FIELD. */
 std::string handoverText(const Gateway::HandOverRequest &action,
                          const Gateway::RelayRequest &request,
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -338,7 +338,7 @@
     Gateway::PlatformRequest forwarded {
         std::string(message.method_string()), std::string(message.target()), m_services.port.peerFields(m_callerFields), message.body()
     };
-    removeHandoverField(forwarded.fields);
+    removeCellFields(forwarded.fields);
     forwarded.fields.push_back(
         { HANDOVER_FIELD, handoverText(action, m_machine.request(), m_services.vm, std::chrono::steady_clock::now()) });
     Net::HttpCallRequest request = toCallRequest(action.receiver.endpoint, std::move(forwarded));
@@ -349,7 +349,7 @@
     return request;
 }
 
-// What the target says of itself in the response is applied by the daemon that sent the request to it.
+// What else the target says of itself in the response is applied by the daemon that sent the request to it.
 void RelaySession::onReceiverHead(Gateway::AttemptNumber attempt, const Net::HttpCallHead &head)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
@@ -358,11 +358,28 @@
         perform(m_machine.onDeclined(attempt, *reason, now));
         return;
     }
+    const auto leaving = head.fields.find(LEAVING_TARGET_FIELD);
+    if (leaving != head.fields.end()) {
+        applyLeaving(TargetId(std::string(leaving->value())));
+    }
     Gateway::TargetResponse response = m_services.port.readTargetResponse(head.status, toFieldList(head.fields));
     response.head.hasOpenEnd = head.hasOpenEnd;
+    removeCellFields(response.head.fields);
     perform(m_machine.onHead(attempt, std::move(response.head), now));
 }
 
+// A target that is not listed yet gets nothing until it is, and tells it then.
+void RelaySession::applyLeaving(const TargetId &target)
+{
+    Gateway::TargetRegistry &targets = m_services.relayContext.targets;
+    const std::optional<Gateway::TargetRecord> record = targets.find(target);
+    if (record) {
+        Gateway::TargetStatement statement;
+        statement.isLeaving = true;
+        targets.applyStatement(*record, statement, std::chrono::steady_clock::now());
+    }
+}
+
 void RelaySession::onResponseHead(Gateway::AttemptNumber attempt, const Gateway::TargetRecord &target, const Net::HttpCallHead &head)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
@@ -376,6 +393,10 @@
     if (response.rateLimit) {
         m_services.permitBroker.onRateLimit(target, *response.rateLimit);
     }
+    m_services.relayContext.targets.applyStatement(target, response.statement, now);
+    if (response.statement.isLeaving && m_machine.request().handover) {
+        response.head.fields.push_back({ LEAVING_TARGET_FIELD, target.id.value() });
+    }
     response.head.hasOpenEnd = head.hasOpenEnd;
     perform(m_machine.onHead(attempt, std::move(response.head), now));
 }
--- a/src/app/gateway/relaysession.h
+++ b/src/app/gateway/relaysession.h
@@ -50,6 +50,7 @@
     Net::HttpCallHandlers attemptHandlers(Gateway::AttemptNumber attempt);
     void startResumed();
     void onOrigin(const std::optional<Gateway::StreamOrigin> &origin);
+    void applyLeaving(const TargetId &target);
     void onReceiverHead(Gateway::AttemptNumber attempt, const Net::HttpCallHead &head);
     void onStageFinished(std::size_t stage, const std::vector<Gateway::PieceCompletion> &completions);
     void onResponseHead(Gateway::AttemptNumber attempt, const Gateway::TargetRecord &target, const Net::HttpCallHead &head);
--- a/src/app/gateway/requestdispatcher.cpp
+++ b/src/app/gateway/requestdispatcher.cpp
@@ -58,7 +58,7 @@
         decline(exchange, {}, {}, error.what());
         return;
     }
-    removeHandoverField(fields);
+    removeCellFields(fields);
     handle(exchange, std::move(fields), from);
 }
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -28,3 +28,4 @@
 #include "targetratelimits.h"
 #include "targetrecord.h"
 #include "targetregistry.h"
+#include "targetstatements.h"
--- a/src/libs/gateway/platformport.h
+++ b/src/libs/gateway/platformport.h
@@ -3,6 +3,7 @@
 #include "relayaction.h"
 #include "stagescheduler.h"
 #include "storeentry.h"
+#include "targetstatements.h"
 
 #include <chrono>
 #include <optional>
@@ -40,6 +41,7 @@
     ResponseHead head;
     std::optional<ReportedLoad> load;
     std::optional<Duration> coldFor;
+    TargetStatement statement;
     std::optional<RateLimitStatement> rateLimit; ///< no value if the response says nothing that can be read
 };
 
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -195,6 +195,16 @@
     m_rateLimits.apply(target, statement, now);
 }
 
+void TargetRegistry::applyStatement(const TargetRecord &target, const TargetStatement &statement, MonotonicTime now)
+{
+    m_statements.apply(target, statement, now);
+}
+
+void TargetRegistry::removeExpiredStatements(MonotonicTime now)
+{
+    m_statements.removeExpired(now);
+}
+
 std::vector<TargetRecord> TargetRegistry::usableTargets(const ServiceName &service, MonotonicTime now) const
 {
     std::vector<TargetRecord> records;
@@ -289,7 +299,7 @@
 
 bool TargetRegistry::isAllowed(const Target &target, const std::vector<Region> &regions) const
 {
-    if (target.record.isLeaving || m_disabledDomains.count(target.record.failureDomain) > 0) {
+    if (target.record.isLeaving || m_statements.isLeaving(target.record) || m_disabledDomains.count(target.record.failureDomain) > 0) {
         return false;
     }
     if (regions.empty()) {
--- a/src/libs/gateway/targetregistry.h
+++ b/src/libs/gateway/targetregistry.h
@@ -5,6 +5,7 @@
 #include "targethealth.h"
 #include "targetratelimits.h"
 #include "targetrecord.h"
+#include "targetstatements.h"
 
 #include <map>
 #include <optional>
@@ -89,6 +90,10 @@
     /** Applies what a response of the target said about its request rate limit. */
     void setRateLimit(const TargetRecord &target, const RateLimitStatement &statement, MonotonicTime now);
 
+    /** Applies what a response of the target said about the requests that it wants. */
+    void applyStatement(const TargetRecord &target, const TargetStatement &statement, MonotonicTime now);
+    void removeExpiredStatements(MonotonicTime now);
+
     /** Returns the targets of the service that may be given work now. */
     std::vector<TargetRecord> usableTargets(const ServiceName &service, MonotonicTime now) const;
     /** Returns up to so many targets of the service that may be given work, chosen at random, whatever their health. */
@@ -137,6 +142,7 @@
     std::unordered_map<ServiceName, Service> m_services;
     std::set<FailureDomain> m_disabledDomains;
     TargetRateLimits m_rateLimits;
+    TargetStatements m_statements;
 };
 
 } // namespace CassiaRelay::Gateway
--- a/tests/auto/gateway/tst_targetregistry.cpp
+++ b/tests/auto/gateway/tst_targetregistry.cpp
@@ -187,4 +187,23 @@
     BOOST_TEST(chosen(targets, requirements()).value() == "t0");
 }
 
+// The entry of a target may say that it is ready while its answers say that it is leaving, and may come back after it was removed.
+BOOST_AUTO_TEST_CASE(targetThatSaysItIsLeavingGetsNothing)
+{
+    TargetRegistry targets = makeRegistry(2);
+    const TargetRecord leaving = target("t0", "engine", "a");
+    targets.applyStatement(leaving, { true }, START);
+    targets.put(leaving, START + seconds(1));
+    BOOST_TEST(chosen(targets, requirements(), START + seconds(1)) == TargetId("t1"));
+    BOOST_TEST(targets.usableTargets(ServiceName("engine"), START + seconds(1)).size() == 1U);
+    BOOST_TEST(!targets.startAttempt(leaving.id, 0, START + seconds(1)));
+    targets.remove(leaving.id);
+    targets.put(leaving, START + seconds(3));
+    BOOST_TEST(!targets.startAttempt(leaving.id, 0, START + seconds(3)));
+    TargetRecord restarted = leaving;
+    restarted.startedAt += milliseconds(1);
+    targets.put(restarted, START + seconds(4));
+    BOOST_TEST(targets.startAttempt(leaving.id, 0, START + seconds(4)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -293,3 +293,28 @@
     BOOST_TEST((std::get<PieceFailure>(outcomes[1]) == PieceFailure::InputGone));
     BOOST_CHECK_THROW(ADAPTER.readStageResults(call, R"({"items":[{"handle":"h"}]})"), Error);
 }
+
+BOOST_AUTO_TEST_CASE(leavingIsReadFromResponsesOfTheTarget)
+{
+    const HttpField leaving { "Server-Leaving", "1" };
+    BOOST_TEST(Platform::Adapter().readTargetResponse(200, { { "X-Cassiarelay-Response-Stamp", "s" }, leaving }).statement.isLeaving);
+    BOOST_TEST(Platform::Adapter().readTargetResponse(503, { { "X-Cassiarelay-Not-Executed", "1" }, leaving }).statement.isLeaving);
+    BOOST_TEST(!Platform::Adapter().readTargetResponse(200, { { "X-Cassiarelay-Response-Stamp", "s" } }).statement.isLeaving);
+    // Another target has the address now.
+    BOOST_TEST(!Platform::Adapter().readTargetResponse(421, { { "X-Cassiarelay-Not-Executed", "1" }, leaving }).statement.isLeaving);
+}
+
+// A request that was handed over reaches its target as if its caller had sent it there.
+BOOST_AUTO_TEST_CASE(peerFieldsAreThoseThatTheCallerSentEndToEnd)
+{
+    const std::vector<HttpField> fields = Platform::Adapter().peerFields({ { "Host", "host.example" },
+                                                                           { "Authorization", "Bearer key" },
+                                                                           { "Connection", "close, X-Hop" },
+                                                                           { "X-Hop", "1" },
+                                                                           { "Content-Length", "3" },
+                                                                           { "X-Cassiarelay-Deadline-Ms", "100" } });
+    BOOST_REQUIRE(fields.size() == 3U);
+    BOOST_TEST(fields[0].name == "Host");
+    BOOST_TEST(fields[1].value == "Bearer key");
+    BOOST_TEST(fields[2].name == "X-Cassiarelay-Deadline-Ms");
+}
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -87,6 +87,11 @@
         status, answer = http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"rateLimit": limit}))
         assert status == 200, answer
 
+    # say-leaving TARGET: the target says in its answers that it is leaving, and its entry does not
+    def verb_say_leaving(self, name):
+        status, answer = http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"leaving": True}))
+        assert status == 200, answer
+
     # version TARGET VERSION: the target publishes this version of its software
     def verb_version(self, name, version):
         target = self.target(name)
--- a/tests/standins/routecall.cpp
+++ b/tests/standins/routecall.cpp
@@ -36,6 +36,9 @@
         text << *load.rateLimit;
         fields.push_back({ "Server-Limit", text.str() });
     }
+    if (load.isLeaving) {
+        fields.push_back({ "Server-Leaving", "1" });
+    }
 }
 
 } // namespace
--- a/tests/standins/routecall.h
+++ b/tests/standins/routecall.h
@@ -27,6 +27,7 @@
     std::size_t waiting = 0;
     int slots = 0;
     std::optional<double> rateLimit; ///< requests per second that it accepts from all daemons together
+    bool isLeaving = false;          ///< it says so in its answers
 };
 
 /** Path of a call for pieces. */
--- a/tests/standins/standintarget.cpp
+++ b/tests/standins/standintarget.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view COMPLETIONS_PATH = "/v1/completions";
 constexpr std::string_view KILLER_MARKER = "KILLER";
 constexpr std::size_t PREFIX_BYTES = 64;
+constexpr std::chrono::seconds LEAVING_TIME { 3 }; // each daemon under load has had an answer by then, and 2 s to act on it
 constexpr unsigned STATUS_CONFLICT = 409;
 constexpr unsigned STATUS_BAD_REQUEST = 400;
 constexpr unsigned STATUS_NOT_FOUND = 404;
@@ -159,7 +160,11 @@
     if (m_routes->turnsAway(exchange, load())) {
         return;
     }
-    m_rateLimit.recordArrival(std::chrono::steady_clock::now());
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    m_rateLimit.recordArrival(now);
+    if (m_leavingSince && now > *m_leavingSince + LEAVING_TIME) {
+        ++m_arrivalsAfterLeaving;
+    }
     if (refuses(exchange, body)) {
         return;
     }
@@ -294,6 +299,9 @@
         const json &limit = fault.at("rateLimit");
         m_rateLimit.setLimit(limit.is_number() ? std::optional(limit.get<double>()) : std::nullopt, std::chrono::steady_clock::now());
     }
+    if (fault.value("leaving", false)) {
+        m_leavingSince = std::chrono::steady_clock::now();
+    }
     if (fault.value("cold", false)) {
         becomeCold();
     }
@@ -394,6 +402,7 @@
         { "queued", m_waiting.size() },
         { "incarnation", m_incarnation },
         { "lastAttemptMs", lastAttempt.count() },
+        { "arrivalsAfterLeaving", m_arrivalsAfterLeaving },
     };
     if (m_routes) {
         stats.update(m_routes->stats());
@@ -409,7 +418,7 @@
 
 TargetLoad StandInTarget::load() const
 {
-    return { m_running.size(), m_waiting.size(), m_options.capacity, m_rateLimit.limit() };
+    return { m_running.size(), m_waiting.size(), m_options.capacity, m_rateLimit.limit(), m_leavingSince.has_value() };
 }
 
 } // namespace CassiaRelay::StandIns
--- a/tests/standins/standintarget.h
+++ b/tests/standins/standintarget.h
@@ -66,6 +66,8 @@
     std::deque<std::pair<WorkPointer, std::chrono::milliseconds>> m_waiting;
     std::map<std::string, std::uint64_t> m_runs;
     RateLimitCheck m_rateLimit;
+    std::optional<MonotonicTime> m_leavingSince; ///< its answers say that it is leaving
+    std::uint64_t m_arrivalsAfterLeaving = 0;
     std::optional<RouteService> m_routes;                          ///< of targets that serve routes of the users
     std::pair<Net::HttpExchangePointer, std::string> m_heldAnswer; ///< of the crossed fault
     std::int64_t m_highestFence = 0;
