Leave targets alone for the time that their refusals name

Change: the time holds for this start of the target: requests, pieces and freed results wait or go elsewhere. Callers are told the time when all targets of a service have named one.

Two new unit tests.

--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -624,7 +624,7 @@
         if (!record) {
             continue;
         }
-        if (!m_targets.rateLimits().isLimited(*record)) {
+        if (!m_targets.rateLimits().isLimited(*record) && !m_targets.isPaused(*record, std::chrono::steady_clock::now())) {
             sendFree(*record, freed);
             continue;
         }
@@ -642,7 +642,7 @@
     const MonotonicTime now = std::chrono::steady_clock::now();
     for (auto entry = m_deferredFrees.begin(); entry != m_deferredFrees.end();) {
         const std::optional<Gateway::TargetRecord> record = m_targets.find(entry->first);
-        if (record && !m_targets.rateLimits().canSend(*record, now)) {
+        if (record && (!m_targets.rateLimits().canSend(*record, now) || m_targets.isPaused(*record, now))) {
             ++entry;
             continue;
         }
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -126,7 +126,8 @@
     std::unordered_map<Gateway::ServiceName, Gateway::PieceCapacity> m_capacities;
     std::map<Gateway::OrderId, PendingOrder> m_orders;
     std::map<Gateway::ServiceName, std::vector<Gateway::StageResult>> m_freedResults; ///< not yet reported to the owner of the service
-    std::map<TargetId, std::vector<Gateway::StageResult>> m_deferredFrees;            ///< at targets with a rate limit
+    std::map<TargetId, std::vector<Gateway::StageResult>>
+        m_deferredFrees; ///< at targets with a rate limit, or that want nothing for a while
     boost::asio::steady_timer m_dispatchTimer;
     boost::asio::steady_timer m_freeTimer;
     bool m_isDispatchScheduled = false;
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -87,7 +87,8 @@
     const std::vector<Target *> allowed = candidates(requirements, now);
     if (allowed.empty()) {
         const std::string version = requirements.softwareVersion ? " and runs version " + *requirements.softwareVersion : std::string();
-        return NoTarget { "no target of the service may get work" + version, NO_TARGET_RETRY };
+        return NoTarget { "no target of the service may get work" + version,
+                          std::max<Duration>(NO_TARGET_RETRY, untilPauseEnds(requirements.service, now)) };
     }
     std::vector<Target *> warm;
     std::vector<Target *> ready;
@@ -136,8 +137,8 @@
 bool TargetRegistry::startAttempt(const TargetId &id, std::int64_t tokens, MonotonicTime now)
 {
     const auto found = m_targets.find(id);
-    if (found == m_targets.end() || !isAllowed(found->second, {}) || !hasColdCapacity(found->second, now)
-        || !m_rateLimits.canSend(found->second.record, now)) {
+    if (found == m_targets.end() || !isAllowed(found->second, {}) || isPaused(found->second.record, now)
+        || !hasColdCapacity(found->second, now) || !m_rateLimits.canSend(found->second.record, now)) {
         return false;
     }
     recordAttemptStart(found->second, tokens, now);
@@ -214,7 +215,8 @@
     }
     for (const TargetId &id : ids->second) {
         const Target &target = m_targets.at(id);
-        if (!isAllowed(target, {}) || target.health.isSuspect(now) || !m_rateLimits.canSend(target.record, now)) {
+        if (!isAllowed(target, {}) || isPaused(target.record, now) || target.health.isSuspect(now)
+            || !m_rateLimits.canSend(target.record, now)) {
             continue;
         }
         records.push_back(target.record);
@@ -309,6 +311,28 @@
     return region && std::find(regions.begin(), regions.end(), *region) != regions.end();
 }
 
+bool TargetRegistry::isPaused(const TargetRecord &target, MonotonicTime now) const
+{
+    return m_statements.pausedUntil(target) > now;
+}
+
+// Until the first paused target of the service wants requests again; 0 if none is paused.
+Duration TargetRegistry::untilPauseEnds(const ServiceName &service, MonotonicTime now) const
+{
+    std::optional<MonotonicTime> first;
+    const auto ids = m_byService.find(service);
+    if (ids == m_byService.end()) {
+        return Duration::zero();
+    }
+    for (const TargetId &id : ids->second) {
+        const MonotonicTime end = m_statements.pausedUntil(m_targets.at(id).record);
+        if (end > now) {
+            first = std::min(first.value_or(end), end);
+        }
+    }
+    return first ? *first - now : Duration::zero();
+}
+
 // The limit applies to all daemons together, so each uses an equal share.
 double TargetRegistry::coldRateShare(const ServiceName &service) const
 {
@@ -358,7 +382,7 @@
     }
     for (const TargetId &id : ids->second) {
         Target &target = m_targets.at(id);
-        if (!isAllowed(target, requirements.allowedRegions) || requirements.avoid.count(id) > 0
+        if (!isAllowed(target, requirements.allowedRegions) || isPaused(target.record, now) || requirements.avoid.count(id) > 0
             || target.record.softwareVersion != requirements.softwareVersion.value_or(target.record.softwareVersion)) {
             continue;
         }
--- a/src/libs/gateway/targetregistry.h
+++ b/src/libs/gateway/targetregistry.h
@@ -96,6 +96,8 @@
 
     /** Returns the targets of the service that may be given work now. */
     std::vector<TargetRecord> usableTargets(const ServiceName &service, MonotonicTime now) const;
+    /** Whether the target has turned a request of this daemon away and wants nothing for a while. */
+    bool isPaused(const TargetRecord &target, MonotonicTime now) const;
     /** Returns up to so many targets of the service that may be given work, chosen at random, whatever their health. */
     std::vector<TargetRecord> sample(const ServiceName &service, std::size_t maxCount);
     /** Returns the region of a failure domain; no value if it is unknown. */
@@ -125,6 +127,7 @@
     };
 
     bool isAllowed(const Target &target, const std::vector<Region> &regions) const;
+    Duration untilPauseEnds(const ServiceName &service, MonotonicTime now) const;
     bool hasColdCapacity(Target &target, MonotonicTime now) const;
     double coldRateShare(const ServiceName &service) const;
     double cost(const Target &target, Duration meanLatency, MonotonicTime now) const;
--- a/tests/auto/gateway/tst_targetregistry.cpp
+++ b/tests/auto/gateway/tst_targetregistry.cpp
@@ -206,4 +206,24 @@
     BOOST_TEST(targets.startAttempt(leaving.id, 0, START + seconds(4)));
 }
 
+// A target that turned a request away got the next ones at once, though it had said for how long it wanted none.
+BOOST_AUTO_TEST_CASE(targetThatAsksForAPauseGetsNothingMeanwhile)
+{
+    TargetRegistry targets = makeRegistry(2);
+    const TargetRecord paused = target("t0", "engine", "a");
+    TargetStatement statement;
+    statement.pause = seconds(3);
+    targets.applyStatement(paused, statement, START);
+    const MonotonicTime later = START + milliseconds(2900);
+    targets.put(paused, later);
+    BOOST_TEST(chosen(targets, requirements(), later) == TargetId("t1"));
+    BOOST_TEST(targets.usableTargets(ServiceName("engine"), later).size() == 1U);
+    BOOST_TEST(!targets.startAttempt(paused.id, 0, later));
+    targets.applyStatement(target("t1", "engine", "b"), statement, later);
+    const TargetChoice none = targets.choose(requirements(), later);
+    BOOST_REQUIRE(std::holds_alternative<NoTarget>(none));
+    BOOST_TEST((std::get<NoTarget>(none).retryAfter >= milliseconds(100)));
+    BOOST_TEST(targets.startAttempt(paused.id, 0, START + seconds(3)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -318,3 +318,19 @@
     BOOST_TEST(fields[1].value == "Bearer key");
     BOOST_TEST(fields[2].name == "X-Cassiarelay-Deadline-Ms");
 }
+
+BOOST_AUTO_TEST_CASE(pauseIsReadFromRefusalsOfTheTarget)
+{
+    const auto pause = [](unsigned status, const std::string &value) {
+        return Platform::Adapter()
+            .readTargetResponse(status, { { "X-Cassiarelay-Not-Executed", "1" }, { "Retry-After", value } })
+            .statement.pause;
+    };
+    BOOST_REQUIRE(pause(503, "1.5"));
+    BOOST_TEST((*pause(503, "1.5") == std::chrono::milliseconds(1500)));
+    BOOST_TEST(pause(503, "1e300").has_value());
+    BOOST_TEST(!pause(429, "1").has_value());
+    for (const std::string value : { "", "-1", "soon", "inf", "Fri, 04 Dec 2026 14:00:00 GMT" }) {
+        BOOST_TEST(!pause(503, value).has_value());
+    }
+}
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -92,6 +92,10 @@
         status, answer = http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"leaving": True}))
         assert status == 200, answer
 
+    # refuse TARGET PAUSE_MS: the target turns everything away and asks for a pause
+    def verb_refuse(self, name, pause_ms):
+        http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"refuse": True, "refusalPauseMs": int(pause_ms)}))
+
     # version TARGET VERSION: the target publishes this version of its software
     def verb_version(self, name, version):
         target = self.target(name)
--- a/tests/standins/routecall.cpp
+++ b/tests/standins/routecall.cpp
@@ -82,6 +82,11 @@
 std::vector<HttpField> notRunFields(const RouteCall &call, const TargetLoad &load)
 {
     std::vector<HttpField> fields { { "X-Cassiarelay-Request-Id", call.id }, { "X-Cassiarelay-Not-Executed", "1" } };
+    if (load.retryAfter) {
+        std::ostringstream text;
+        text << std::chrono::duration<double>(*load.retryAfter).count();
+        fields.push_back({ "Retry-After", text.str() });
+    }
     addOwnState(fields, load);
     return fields;
 }
--- a/tests/standins/routecall.h
+++ b/tests/standins/routecall.h
@@ -26,8 +26,9 @@
     std::size_t running = 0;
     std::size_t waiting = 0;
     int slots = 0;
-    std::optional<double> rateLimit; ///< requests per second that it accepts from all daemons together
-    bool isLeaving = false;          ///< it says so in its answers
+    std::optional<double> rateLimit;                     ///< requests per second that it accepts from all daemons together
+    bool isLeaving = false;                              ///< it says so in its answers
+    std::optional<std::chrono::milliseconds> retryAfter; ///< time for which it wants nothing, in refusals
 };
 
 /** Path of a call for pieces. */
--- a/tests/standins/standintarget.cpp
+++ b/tests/standins/standintarget.cpp
@@ -10,6 +10,7 @@
 constexpr std::string_view COMPLETIONS_PATH = "/v1/completions";
 constexpr std::string_view KILLER_MARKER = "KILLER";
 constexpr std::size_t PREFIX_BYTES = 64;
+constexpr milliseconds PAUSE_GRACE { 500 };        // for requests that are under way
 constexpr std::chrono::seconds LEAVING_TIME { 3 }; // each daemon under load has had an answer by then, and 2 s to act on it
 constexpr unsigned STATUS_CONFLICT = 409;
 constexpr unsigned STATUS_BAD_REQUEST = 400;
@@ -162,6 +163,9 @@
     }
     const MonotonicTime now = std::chrono::steady_clock::now();
     m_rateLimit.recordArrival(now);
+    if (m_pausedSince && now > *m_pausedSince + PAUSE_GRACE && now < *m_pausedSince + *m_refusalPause) {
+        ++m_arrivalsWhilePaused;
+    }
     if (m_leavingSince && now > *m_leavingSince + LEAVING_TIME) {
         ++m_arrivalsAfterLeaving;
     }
@@ -180,6 +184,9 @@
 {
     ++m_totals.refused;
     if (m_routes) {
+        if (m_refusalPause && !m_pausedSince) {
+            m_pausedSince = std::chrono::steady_clock::now();
+        }
         m_routes->refuse(exchange, load());
         return;
     }
@@ -299,6 +306,10 @@
         const json &limit = fault.at("rateLimit");
         m_rateLimit.setLimit(limit.is_number() ? std::optional(limit.get<double>()) : std::nullopt, std::chrono::steady_clock::now());
     }
+    if (fault.contains("refusalPauseMs")) {
+        m_refusalPause = milliseconds(fault.at("refusalPauseMs").get<std::int64_t>());
+        m_pausedSince.reset();
+    }
     if (fault.value("leaving", false)) {
         m_leavingSince = std::chrono::steady_clock::now();
     }
@@ -403,6 +414,7 @@
         { "incarnation", m_incarnation },
         { "lastAttemptMs", lastAttempt.count() },
         { "arrivalsAfterLeaving", m_arrivalsAfterLeaving },
+        { "arrivalsWhilePaused", m_arrivalsWhilePaused },
     };
     if (m_routes) {
         stats.update(m_routes->stats());
@@ -418,7 +430,7 @@
 
 TargetLoad StandInTarget::load() const
 {
-    return { m_running.size(), m_waiting.size(), m_options.capacity, m_rateLimit.limit(), m_leavingSince.has_value() };
+    return { m_running.size(), m_waiting.size(), m_options.capacity, m_rateLimit.limit(), m_leavingSince.has_value(), m_refusalPause };
 }
 
 } // namespace CassiaRelay::StandIns
--- a/tests/standins/standintarget.h
+++ b/tests/standins/standintarget.h
@@ -68,6 +68,9 @@
     RateLimitCheck m_rateLimit;
     std::optional<MonotonicTime> m_leavingSince; ///< its answers say that it is leaving
     std::uint64_t m_arrivalsAfterLeaving = 0;
+    std::optional<std::chrono::milliseconds> m_refusalPause; ///< its refusals ask for this pause
+    std::optional<MonotonicTime> m_pausedSince;              ///< first refusal that asked for a pause
+    std::uint64_t m_arrivalsWhilePaused = 0;
     std::optional<RouteService> m_routes;                          ///< of targets that serve routes of the users
     std::pair<Net::HttpExchangePointer, std::string> m_heldAnswer; ///< of the crossed fault
     std::int64_t m_highestFence = 0;
