Spare brittle targets requests that they would refuse

Cause: targets of a service may say that they are brittle: they fall over when they have to refuse more than so many requests in a second (LIMIT). It was not read, and a full target was sent request after request.

Change: while the targets of a service say so, a daemon sends to a target only while its reported load and the daemon's share of its slots leave room, and leaves one alone after a refusal for a time that rises with the number of daemons, with jitter. What finds no room is refused at once. The whole statement of a target is absent now when a response is not the target's.

gateway-leaving-target asks the callers now: no gateway may use a target later than 2 s after it has passed on that it is leaving.

--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -463,7 +463,9 @@
     if (response.rateLimit) {
         m_permitBroker.onRateLimit(call.target, *response.rateLimit);
     }
-    m_targets.applyStatement(call.target, response.statement, now);
+    if (response.statement) {
+        m_targets.applyStatement(call.target, *response.statement, now);
+    }
     if (response.head.status != STATUS_OK) {
         const bool refused = response.head.isNotRun || response.head.status == STATUS_MISDIRECTED;
         onCallFailed(service,
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -374,9 +374,7 @@
     Gateway::TargetRegistry &targets = m_services.relayContext.targets;
     const std::optional<Gateway::TargetRecord> record = targets.find(target);
     if (record) {
-        Gateway::TargetStatement statement;
-        statement.isLeaving = true;
-        targets.applyStatement(*record, statement, std::chrono::steady_clock::now());
+        targets.setLeaving(*record, std::chrono::steady_clock::now());
     }
 }
 
@@ -393,8 +391,10 @@
     if (response.rateLimit) {
         m_services.permitBroker.onRateLimit(target, *response.rateLimit);
     }
-    m_services.relayContext.targets.applyStatement(target, response.statement, now);
-    if (response.statement.isLeaving && m_machine.request().handover) {
+    if (response.statement) {
+        m_services.relayContext.targets.applyStatement(target, *response.statement, now);
+    }
+    if (response.statement && response.statement->isLeaving && m_machine.request().handover) {
         response.head.fields.push_back({ LEAVING_TARGET_FIELD, target.id.value() });
     }
     response.head.hasOpenEnd = head.hasOpenEnd;
--- a/src/libs/gateway/platformport.h
+++ b/src/libs/gateway/platformport.h
@@ -41,7 +41,7 @@
     ResponseHead head;
     std::optional<ReportedLoad> load;
     std::optional<Duration> coldFor;
-    TargetStatement statement;
+    std::optional<TargetStatement> statement;    ///< no value if the response is not that of the target
     std::optional<RateLimitStatement> rateLimit; ///< no value if the response says nothing that can be read
 };
 
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -18,8 +18,12 @@
 constexpr std::chrono::milliseconds COLD_RETRY { 500 };              // half of the window in which cold starts are counted
 constexpr std::chrono::milliseconds RATE_LIMIT_RETRY { 1000 }; // targets in need are few at a time; others have capacity again by then
 constexpr std::size_t MAX_IDLE_CONNECTIONS = 4;                // more are rarely reused before they expire
-constexpr double IDLE_CONNECTION_SHARE = 0.5;   // the rest is for connections in use; a target with a long queue accepts fewer
-constexpr double COLD_RATE_SAFETY_FACTOR = 0.8; // requests sent within one second may arrive within a shorter time
+constexpr double IDLE_CONNECTION_SHARE = 0.5;              // the rest is for connections in use; a target with a long queue accepts fewer
+constexpr std::chrono::milliseconds NO_ROOM_RETRY { 250 }; // a slot of a full target is usually free again by then
+constexpr std::chrono::seconds MAX_REFUSAL_BACKOFF { 10 }; // targets are brittle for seconds
+constexpr double REFUSAL_BACKOFF_FACTOR = 2;               // half of the refusals that a target bears
+constexpr double BRITTLE_SHARE_FACTOR = 2;                 // the daemons do not all use their shares of a target at the same time
+constexpr double COLD_RATE_SAFETY_FACTOR = 0.8;            // requests sent within one second may arrive within a shorter time
 
 } // namespace
 
@@ -92,7 +96,12 @@
     }
     std::vector<Target *> warm;
     std::vector<Target *> ready;
+    bool isFull = true;
     for (Target *target : allowed) {
+        if (!hasRoom(*target, now)) {
+            continue;
+        }
+        isFull = false;
         if (!hasColdCapacity(*target, now)) {
             continue;
         }
@@ -101,6 +110,9 @@
             ready.push_back(target);
         }
     }
+    if (isFull) {
+        return NoTarget { "all targets of the service are full, and crash when they refuse more", NO_ROOM_RETRY };
+    }
     if (warm.empty()) {
         return NoTarget { "all targets of the service are cold and at their limit", COLD_RETRY };
     }
@@ -137,7 +149,7 @@
 bool TargetRegistry::startAttempt(const TargetId &id, std::int64_t tokens, MonotonicTime now)
 {
     const auto found = m_targets.find(id);
-    if (found == m_targets.end() || !isAllowed(found->second, {}) || isPaused(found->second.record, now)
+    if (found == m_targets.end() || !isAllowed(found->second, {}) || isPaused(found->second.record, now) || !hasRoom(found->second, now)
         || !hasColdCapacity(found->second, now) || !m_rateLimits.canSend(found->second.record, now)) {
         return false;
     }
@@ -163,6 +175,10 @@
     target.running = std::max(0, target.running - 1);
     target.pendingPromptTokens = std::max<std::int64_t>(0, target.pendingPromptTokens - pendingPromptTokens);
     target.health.recordResult(result, now);
+    const std::optional<double> maxRefusals = m_statements.maxRefusals(target.record.service);
+    if (result == AttemptResult::Refused && maxRefusals) {
+        target.refusedUntil = now + refusalBackoff(*maxRefusals);
+    }
 }
 
 void TargetRegistry::addLatencySample(const TargetId &id, Duration latency)
@@ -181,6 +197,7 @@
     }
     found->second.externalRunning = std::max(0, load.running + load.waiting - found->second.running);
     found->second.loadReportedAt = now;
+    found->second.reportedSlots = load.slots;
 }
 
 void TargetRegistry::setColdTime(const TargetId &id, Duration coldFor, MonotonicTime now)
@@ -201,6 +218,11 @@
     m_statements.apply(target, statement, now);
 }
 
+void TargetRegistry::setLeaving(const TargetRecord &target, MonotonicTime now)
+{
+    m_statements.setLeaving(target, now);
+}
+
 void TargetRegistry::removeExpiredStatements(MonotonicTime now)
 {
     m_statements.removeExpired(now);
@@ -215,7 +237,7 @@
     }
     for (const TargetId &id : ids->second) {
         const Target &target = m_targets.at(id);
-        if (!isAllowed(target, {}) || isPaused(target.record, now) || target.health.isSuspect(now)
+        if (!isAllowed(target, {}) || isPaused(target.record, now) || !hasRoom(target, now) || target.health.isSuspect(now)
             || !m_rateLimits.canSend(target.record, now)) {
             continue;
         }
@@ -316,6 +338,30 @@
     return m_statements.pausedUntil(target) > now;
 }
 
+// Load reports are late, and all daemons read the same ones, so each also keeps to a share of the slots.
+bool TargetRegistry::hasRoom(const Target &target, MonotonicTime now) const
+{
+    if (!m_statements.maxRefusals(target.record.service)) {
+        return true;
+    }
+    if (target.refusedUntil > now) {
+        return false;
+    }
+    const int slots = std::max(1, target.reportedSlots > 0 ? target.reportedSlots : target.record.slots);
+    const int share = std::max(1, static_cast<int>(BRITTLE_SHARE_FACTOR * slots / m_vmCount));
+    const bool hasReport = target.loadReportedAt + REPORTED_LOAD_LIFETIME > now;
+    return target.running < share && target.running + (hasReport ? target.externalRunning : 0) < slots;
+}
+
+// All daemons together stay well below the refusals that the target bears if each of them causes one in this time. They must not come
+// back at the same moment.
+Duration TargetRegistry::refusalBackoff(double maxRefusals)
+{
+    const double mean = std::max(1.0, REFUSAL_BACKOFF_FACTOR * m_vmCount / std::max(maxRefusals, 1.0));
+    const std::chrono::duration<double> seconds(mean * std::uniform_real_distribution<double>(0.5, 1.5)(m_random));
+    return std::min<Duration>(std::chrono::duration_cast<Duration>(seconds), MAX_REFUSAL_BACKOFF);
+}
+
 // Until the first paused target of the service wants requests again; 0 if none is paused.
 Duration TargetRegistry::untilPauseEnds(const ServiceName &service, MonotonicTime now) const
 {
--- a/src/libs/gateway/targetregistry.h
+++ b/src/libs/gateway/targetregistry.h
@@ -92,6 +92,8 @@
 
     /** Applies what a response of the target said about the requests that it wants. */
     void applyStatement(const TargetRecord &target, const TargetStatement &statement, MonotonicTime now);
+    /** Another daemon has heard that the target is leaving. */
+    void setLeaving(const TargetRecord &target, MonotonicTime now);
     void removeExpiredStatements(MonotonicTime now);
 
     /** Returns the targets of the service that may be given work now. */
@@ -121,12 +123,18 @@
         std::int64_t pendingPromptTokens = 0;
         int externalRunning = 0; ///< requests of other daemons, from the last load report
         MonotonicTime loadReportedAt;
+        int reportedSlots = 0; ///< 0 until the target has reported its load
         MonotonicTime coldUntil;
         SlidingWindowCounter recentColdStarts { std::chrono::seconds(1) };
         MonotonicTime lastColdStartAt;
+        MonotonicTime refusedUntil; ///< a brittle target gets nothing until then
     };
 
     bool isAllowed(const Target &target, const std::vector<Region> &regions) const;
+    /** Whether a brittle target is likely to take one more request; others decide for themselves. */
+    bool hasRoom(const Target &target, MonotonicTime now) const;
+    /** Time for which this daemon leaves a brittle target alone that has refused a request. */
+    Duration refusalBackoff(double maxRefusals);
     Duration untilPauseEnds(const ServiceName &service, MonotonicTime now) const;
     bool hasColdCapacity(Target &target, MonotonicTime now) const;
     double coldRateShare(const ServiceName &service) const;
--- a/src/libs/gateway/targetstatements.cpp
+++ b/src/libs/gateway/targetstatements.cpp
@@ -10,12 +10,25 @@
 
 void TargetStatements::apply(const TargetRecord &target, const TargetStatement &statement, MonotonicTime now)
 {
-    if (!statement.isLeaving && !statement.pause) {
-        return;
+    if (statement.maxRefusals) {
+        m_maxRefusals[target.service] = *statement.maxRefusals;
+    } else {
+        m_maxRefusals.erase(target.service);
     }
+    if (statement.isLeaving) {
+        setLeaving(target, now);
+    }
+    if (statement.pause) {
+        State &state = m_states[{ target.id, target.startedAt }];
+        state.pausedUntil = std::max(state.pausedUntil, now + *statement.pause);
+        state.saidAt = now;
+    }
+}
+
+void TargetStatements::setLeaving(const TargetRecord &target, MonotonicTime now)
+{
     State &state = m_states[{ target.id, target.startedAt }];
-    state.isLeaving = state.isLeaving || statement.isLeaving;
-    state.pausedUntil = std::max(state.pausedUntil, now + statement.pause.value_or(Duration::zero()));
+    state.isLeaving = true;
     state.saidAt = now;
 }
 
@@ -31,6 +44,12 @@
     return state ? state->pausedUntil : MonotonicTime::min();
 }
 
+std::optional<double> TargetStatements::maxRefusals(const ServiceName &service) const
+{
+    const auto found = m_maxRefusals.find(service);
+    return found == m_maxRefusals.end() ? std::nullopt : std::optional(found->second);
+}
+
 void TargetStatements::removeExpired(MonotonicTime now)
 {
     for (auto state = m_states.begin(); state != m_states.end();) {
--- a/tests/auto/gateway/tst_targetregistry.cpp
+++ b/tests/auto/gateway/tst_targetregistry.cpp
@@ -226,4 +226,29 @@
     BOOST_TEST(targets.startAttempt(paused.id, 0, START + seconds(3)));
 }
 
+// Brittle targets that were full got requests, refused them and fell over.
+BOOST_AUTO_TEST_CASE(brittleTargetThatIsFullGetsNothing)
+{
+    TargetRegistry targets = makeRegistry(2);
+    targets.setVmCount(8);
+    const TargetRecord full = target("t0", "engine", "a");
+    TargetStatement brittle;
+    brittle.maxRefusals = 4;
+    targets.applyStatement(full, brittle, START);
+    targets.setReportedLoad(full.id, { 8, 0, 8 }, START);
+    BOOST_TEST(!targets.startAttempt(full.id, 0, START));
+    BOOST_TEST(chosen(targets, requirements()) == TargetId("t1"));
+    BOOST_TEST(chosen(targets, requirements()) == TargetId("t1"));
+    // Twice an eighth of its eight slots are the share of this daemon.
+    BOOST_TEST(chosen(targets, requirements()) == TargetId("none"));
+    targets.finishAttempt(TargetId("t1"), AttemptResult::Refused, 0, START);
+    // With four refusals a second for eight daemons, each may cause one in two seconds.
+    BOOST_TEST(!targets.startAttempt(TargetId("t1"), 0, START + milliseconds(1900)));
+    BOOST_TEST(targets.startAttempt(TargetId("t1"), 0, START + seconds(7)));
+    targets.applyStatement(full, {}, START + seconds(8));
+    for (int request = 0; request < 8; ++request) {
+        BOOST_TEST(targets.startAttempt(full.id, 0, START + seconds(8)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -297,11 +297,11 @@
 BOOST_AUTO_TEST_CASE(leavingIsReadFromResponsesOfTheTarget)
 {
     const HttpField leaving { "Server-Leaving", "1" };
-    BOOST_TEST(Platform::Adapter().readTargetResponse(200, { { "X-Cassiarelay-Response-Stamp", "s" }, leaving }).statement.isLeaving);
-    BOOST_TEST(Platform::Adapter().readTargetResponse(503, { { "X-Cassiarelay-Not-Executed", "1" }, leaving }).statement.isLeaving);
-    BOOST_TEST(!Platform::Adapter().readTargetResponse(200, { { "X-Cassiarelay-Response-Stamp", "s" } }).statement.isLeaving);
+    BOOST_TEST(Platform::Adapter().readTargetResponse(200, { { "X-Cassiarelay-Response-Stamp", "s" }, leaving }).statement->isLeaving);
+    BOOST_TEST(Platform::Adapter().readTargetResponse(503, { { "X-Cassiarelay-Not-Executed", "1" }, leaving }).statement->isLeaving);
+    BOOST_TEST(!Platform::Adapter().readTargetResponse(200, { { "X-Cassiarelay-Response-Stamp", "s" } }).statement->isLeaving);
     // Another target has the address now.
-    BOOST_TEST(!Platform::Adapter().readTargetResponse(421, { { "X-Cassiarelay-Not-Executed", "1" }, leaving }).statement.isLeaving);
+    BOOST_TEST(!Platform::Adapter().readTargetResponse(421, { { "X-Cassiarelay-Not-Executed", "1" }, leaving }).statement.has_value());
 }
 
 // A request that was handed over reaches its target as if its caller had sent it there.
@@ -324,7 +324,7 @@
     const auto pause = [](unsigned status, const std::string &value) {
         return Platform::Adapter()
             .readTargetResponse(status, { { "X-Cassiarelay-Not-Executed", "1" }, { "Retry-After", value } })
-            .statement.pause;
+            .statement->pause;
     };
     BOOST_REQUIRE(pause(503, "1.5"));
     BOOST_TEST((*pause(503, "1.5") == std::chrono::milliseconds(1500)));
@@ -334,3 +334,16 @@
         BOOST_TEST(!pause(503, value).has_value());
     }
 }
+
+BOOST_AUTO_TEST_CASE(brittlenessIsReadFromResponsesOfTheTarget)
+{
+    const auto maxRefusals = [](const std::string &value) {
+        return Platform::Adapter()
+            .readTargetResponse(200, { { "X-Cassiarelay-Response-Stamp", "s" }, { "Server-Brittle", value } })
+            .statement->maxRefusals;
+    };
+    BOOST_TEST(maxRefusals("5").value() == 5);
+    BOOST_TEST(maxRefusals("0").value() == 0);
+    BOOST_TEST(!maxRefusals("").has_value());
+    BOOST_TEST(!Platform::Adapter().readTargetResponse(200, { { "X-Cassiarelay-Response-Stamp", "s" } }).statement->maxRefusals);
+}
--- a/tests/scenarios/cutload.py
+++ b/tests/scenarios/cutload.py
@@ -9,6 +9,7 @@
 from callers import SteadyLoad
 from gateways import judge, send_routed
 
+DRAIN_S = 2.0  # from this long after a gateway has passed on that a target is leaving, it sends nothing there
 SETTLED_S = 3.0  # from this long after a cut, callers of the gateways that are cut off have to be served
 
 
@@ -21,6 +22,7 @@
         self._routes = itertools.cycle(routes)
         self._tries = []  # (sent at, gateway, route, kind, duration)
         self._cuts = []  # [names, began, ended]
+        self._answers = []  # (sent at, received at, gateway, instance, whether it is leaving)
         self.sent = {}  # route by request id
         super().__init__(fleet, None, rate)
 
@@ -53,6 +55,8 @@
             response = connection.getresponse()
             detail = response.read().decode()
             kind = judge(response, detail, request_id, request_id)
+            instance = response.getheader("X-Cassiarelay-Response-Stamp", "").partition(".")[0]
+            self._answers.append((sent_at, time.monotonic(), vm.name, instance, response.getheader("Server-Leaving") == "1"))
         except (OSError, http.client.HTTPException) as failure:
             detail = repr(failure)
         finally:
@@ -74,6 +78,18 @@
                 counts[(name in names, "served")] += kind == "answered"
         return tuple(counts[(is_cut, "served")] / max(1, counts[(is_cut, "sent")]) for is_cut in (True, False))
 
+    def sent_to_leaving(self):
+        """Requests that were sent to a target by a gateway that had passed on before that it is leaving."""
+        told = {}
+        for _, received_at, name, instance, is_leaving in self._answers:
+            if is_leaving:
+                told[name, instance] = min(received_at, told.get((name, instance), received_at))
+        return sum(sent_at > told.get((name, instance), sent_at) + DRAIN_S for sent_at, _, name, instance, _ in self._answers)
+
+    def told_of_leaving(self):
+        """Pairs of gateways and targets for which that could be seen."""
+        return len({(name, instance) for _, _, name, instance, is_leaving in self._answers if is_leaving})
+
     def share_since(self, since):
         """Served share of the tries that were sent since then."""
         kinds = [kind for sent_at, _, _, kind, _ in self._tries if sent_at >= since]
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -96,6 +96,13 @@
     def verb_refuse(self, name, pause_ms):
         http_json(self.target(name)["port"], "POST", "/fault", json.dumps({"refuse": True, "refusalPauseMs": int(pause_ms)}))
 
+    # brittle SERVICE COUNT|none: with more refusals in a second a target of the service falls over, as it says in its answers
+    def verb_brittle(self, service, count):
+        limit = None if count == "none" else int(count)
+        for target in self.fleet.targets:
+            if target["pool"] == service:
+                http_json(target["port"], "POST", "/fault", json.dumps({"maxRefusals": limit}))
+
     # version TARGET VERSION: the target publishes this version of its software
     def verb_version(self, name, version):
         target = self.target(name)
@@ -230,6 +237,16 @@
         twice = [request for request, route in self.load.sent.items() if route in UNSAFE_ROUTES and runs.get(request, 0) > 1]
         return not twice, twice[:3]
 
+    # leaving-obeyed PAIRS: no gateway used a target that it knew to be leaving; so many pairs of the two were seen
+    def condition_leaving_obeyed(self, pairs):
+        wrong, seen = self.load.sent_to_leaving(), self.load.told_of_leaving()
+        return wrong == 0 and seen >= int(pairs), (wrong, seen)
+
+    # service-total SERVICE FIGURE OPERATOR COUNT: like total, over the targets of one service
+    def condition_service_total(self, service, figure, operator, count):
+        seen = sum(stats.get(figure, 0) for stats in self.fleet.target_stats(pool=service))
+        return COMPARE[operator](seen, int(count)), seen
+
     # total FIGURE OPERATOR COUNT: a figure that targets tell, over all of them
     def condition_total(self, figure, operator, count):
         seen = sum(stats.get(figure, 0) for stats in self.fleet.target_stats())
--- a/tests/standins/routecall.cpp
+++ b/tests/standins/routecall.cpp
@@ -36,6 +36,9 @@
         text << *load.rateLimit;
         fields.push_back({ "Server-Limit", text.str() });
     }
+    if (load.maxRefusals) {
+        fields.push_back({ "Server-Brittle", std::to_string(*load.maxRefusals) });
+    }
     if (load.isLeaving) {
         fields.push_back({ "Server-Leaving", "1" });
     }
--- a/tests/standins/routecall.h
+++ b/tests/standins/routecall.h
@@ -29,6 +29,7 @@
     std::optional<double> rateLimit;                     ///< requests per second that it accepts from all daemons together
     bool isLeaving = false;                              ///< it says so in its answers
     std::optional<std::chrono::milliseconds> retryAfter; ///< time for which it wants nothing, in refusals
+    std::optional<int> maxRefusals;                      ///< in a second; with more it falls over
 };
 
 /** Path of a call for pieces. */
--- a/tests/standins/standintarget.cpp
+++ b/tests/standins/standintarget.cpp
@@ -188,11 +188,25 @@
             m_pausedSince = std::chrono::steady_clock::now();
         }
         m_routes->refuse(exchange, load());
+        fallOverIfBrittle();
         return;
     }
     exchange->respond(jsonResponse({ { "error", "too busy" } }, STATUS_BUSY));
 }
 
+void StandInTarget::fallOverIfBrittle()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    m_refusals.push_back(now);
+    while (m_refusals.front() + std::chrono::seconds(1) <= now) {
+        m_refusals.pop_front();
+    }
+    if (m_maxRefusals && static_cast<int>(m_refusals.size()) > *m_maxRefusals) {
+        m_refusals.clear();
+        die();
+    }
+}
+
 bool StandInTarget::refuses(const Net::HttpExchangePointer &exchange, const json &body)
 {
     if (body.dump().find(KILLER_MARKER) != std::string::npos) {
@@ -211,7 +225,7 @@
             return true;
         }
     }
-    const bool isFull = concurrency() >= m_options.capacity + m_options.queue;
+    const bool isFull = concurrency() >= m_options.capacity + (m_maxRefusals ? 0 : m_options.queue);
     if (overrun || isFull || m_faults.refuse) {
         refuseBusy(exchange);
         return true;
@@ -310,6 +324,10 @@
         m_refusalPause = milliseconds(fault.at("refusalPauseMs").get<std::int64_t>());
         m_pausedSince.reset();
     }
+    if (fault.contains("maxRefusals")) {
+        const json &limit = fault.at("maxRefusals");
+        m_maxRefusals = limit.is_number() ? std::optional(limit.get<int>()) : std::nullopt;
+    }
     if (fault.value("leaving", false)) {
         m_leavingSince = std::chrono::steady_clock::now();
     }
@@ -430,7 +448,8 @@
 
 TargetLoad StandInTarget::load() const
 {
-    return { m_running.size(), m_waiting.size(), m_options.capacity, m_rateLimit.limit(), m_leavingSince.has_value(), m_refusalPause };
+    return { m_running.size(),           m_waiting.size(), m_options.capacity, m_rateLimit.limit(),
+             m_leavingSince.has_value(), m_refusalPause,   m_maxRefusals };
 }
 
 } // namespace CassiaRelay::StandIns
--- a/tests/standins/standintarget.h
+++ b/tests/standins/standintarget.h
@@ -32,6 +32,7 @@
     void work(const Net::HttpExchangePointer &exchange, const std::string &path, const nlohmann::json &body);
     void routedWork(const Net::HttpExchangePointer &exchange, const std::string &path, const nlohmann::json &body);
     void refuseBusy(const Net::HttpExchangePointer &exchange);
+    void fallOverIfBrittle();
     bool refuses(const Net::HttpExchangePointer &exchange, const nlohmann::json &body);
     void enqueue(const WorkPointer &work, std::chrono::milliseconds firstDelay);
     void abandon(const WorkPointer &work);
@@ -71,6 +72,8 @@
     std::optional<std::chrono::milliseconds> m_refusalPause; ///< its refusals ask for this pause
     std::optional<MonotonicTime> m_pausedSince;              ///< first refusal that asked for a pause
     std::uint64_t m_arrivalsWhilePaused = 0;
+    std::optional<int> m_maxRefusals; ///< it is brittle: with more in a second it falls over, and none may wait
+    std::deque<MonotonicTime> m_refusals;
     std::optional<RouteService> m_routes;                          ///< of targets that serve routes of the users
     std::pair<Net::HttpExchangePointer, std::string> m_heldAnswer; ///< of the crossed fault
     std::int64_t m_highestFence = 0;
