Hand requests over only to daemons that take them

Cause, found by reading the diff: while a release is rolled out, daemons of an earlier version run beside new ones. They would answer a request that is handed over as an unknown path, with 404, and the caller would get that.

Change: a daemon is asked only if its greeting names its failure domain, which came with the same version.

Measured: requestsAreHandedOverOnlyToDaemonsThatTakeThem; daemonsThatReachNoTargetOwnNothing covers the owners of pieces.

--- a/src/app/gateway/peergossip.cpp
+++ b/src/app/gateway/peergossip.cpp
@@ -224,6 +224,7 @@
     if (greeting.knownHash) {
         member.knownDaemonsHash = static_cast<std::uint64_t>(*greeting.knownHash);
     }
+    member.takesHandovers = greeting.domain.has_value();
     member.failureDomain = FailureDomain(greeting.domain.value_or(std::string()));
     for (const std::string &service : greeting.blocked.value_or(std::vector<std::string>())) {
         member.blockedServices.insert(Gateway::ServiceName(service));
--- a/src/libs/gateway/members.h
+++ b/src/libs/gateway/members.h
@@ -19,6 +19,7 @@
     std::optional<std::uint64_t> knownDaemonsHash {}; ///< Members::knownDaemonsHash() of that daemon
     FailureDomain failureDomain {};
     std::set<ServiceName> blockedServices {}; ///< services of which it reaches no target
+    bool takesHandovers = true;               ///< daemons of earlier versions do not
 };
 
 /**
@@ -142,7 +143,8 @@
     double bestRank = 0;
     for (const auto &[vm, state] : m_members) {
         const Member &member = state.member;
-        if (member.isLeaving || state.avoidedUntil > now || member.blockedServices.count(service) > 0 || !mayReceive(member)) {
+        if (member.isLeaving || !member.takesHandovers || state.avoidedUntil > now || member.blockedServices.count(service) > 0
+            || !mayReceive(member)) {
             continue;
         }
         const double rank = weightedRank(member, key);
--- a/tests/auto/gateway/tst_members.cpp
+++ b/tests/auto/gateway/tst_members.cpp
@@ -225,4 +225,52 @@
     BOOST_TEST(first.onGreeting(member(1, 6), {}, START));
 }
 
+// A daemon of an earlier version would answer a request that is handed over with 404.
+BOOST_AUTO_TEST_CASE(requestsAreHandedOverOnlyToDaemonsThatTakeThem)
+{
+    const ServiceName service("engine");
+    const auto any = [](const Member &) { return true; };
+    Members members(VmId("vm-0"), { "10.0.0.1", 1000 });
+    Member other { VmId("vm-1"), { "10.0.0.1", 1001 }, 1, false };
+    members.onGreeting(other, {}, START);
+    BOOST_TEST(members.receiver(service, 1, START, any).has_value());
+    other.takesHandovers = false;
+    members.onGreeting(other, {}, START);
+    BOOST_TEST(!members.receiver(service, 1, START, any).has_value());
+    other.takesHandovers = true;
+    other.blockedServices = { service };
+    members.onGreeting(other, {}, START);
+    BOOST_TEST(!members.receiver(service, 1, START, any).has_value());
+    BOOST_TEST(members.receiver(ServiceName("desk"), 1, START, any).has_value());
+    other.blockedServices = {};
+    members.onGreeting(other, {}, START);
+    members.avoid(other.vm, START);
+    BOOST_TEST(!members.receiver(service, 1, START, any).has_value());
+    BOOST_TEST(members.receiver(service, 1, START + seconds(2), any).has_value());
+}
+
+// Owners that reached no target of their service kept the pieces of all daemons.
+BOOST_AUTO_TEST_CASE(daemonsThatReachNoTargetOwnNothing)
+{
+    const ServiceName service("stage");
+    Members members(VmId("vm-0"), { "10.0.0.1", 1000 });
+    for (int vm = 1; vm < 4; ++vm) {
+        Member other { VmId("vm-" + std::to_string(vm)), { "10.0.0.1", static_cast<std::uint16_t>(1000 + vm) }, 1, false };
+        other.blockedServices = { service };
+        members.onGreeting(other, {}, START);
+    }
+    BOOST_TEST(!members.owner(service).has_value());
+    // When nobody reaches any, all agree on one as before.
+    members.setBlockedServices({ service });
+    Members same(VmId("vm-0"), { "10.0.0.1", 1000 });
+    for (int vm = 1; vm < 4; ++vm) {
+        same.onGreeting({ VmId("vm-" + std::to_string(vm)), { "10.0.0.1", static_cast<std::uint16_t>(1000 + vm) }, 1, false }, {}, START);
+    }
+    BOOST_TEST(members.owner(service).has_value() == same.owner(service).has_value());
+    Member reaching { VmId("vm-2"), { "10.0.0.1", 1002 }, 1, false };
+    members.onGreeting(reaching, {}, START);
+    BOOST_REQUIRE(members.owner(service));
+    BOOST_TEST(members.owner(service)->vm == VmId("vm-2"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
