--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -250,7 +250,11 @@
 // Calls for its pieces may still be running here. What they make is freed.
 void PieceBroker::returnOrder(Gateway::OrderId id)
 {
-    PendingOrder &order = m_orders.at(id);
+    const auto found = m_orders.find(id);
+    if (found == m_orders.end()) {
+        return;
+    }
+    PendingOrder &order = found->second;
     schedulerFor(order.pieceOrder.service).withdraw(id);
     free(Gateway::successfulResults(std::exchange(order.completions, {})));
     order.openPieces = order.pieceOrder.pieces.size();
@@ -259,7 +263,7 @@
         return;
     }
     const std::function<void()> onReturned = std::move(order.onReturned);
-    m_orders.erase(id);
+    m_orders.erase(found);
     onReturned();
 }
 
--- a/src/libs/gateway/members.h
+++ b/src/libs/gateway/members.h
@@ -123,7 +123,7 @@
 
     Duration greetingTimeout(const State &state, MonotonicTime now) const;
     void updateMaxKnownCount();
-    /** Share of 0 to 1 that the member would have in a rendezvous ranking by capacity; the highest one is chosen. */
+    /** Rank of the member in a rendezvous ranking that takes the capacity into account; the highest one wins. */
     static double weightedRank(const Member &member, std::uint64_t key);
 
     VmId m_self;
