--- a/tests/scenarios/cutload.py
+++ b/tests/scenarios/cutload.py
@@ -7,7 +7,7 @@
 import time
 
 from callers import SteadyLoad
-from gateways import judge, send_routed
+from gateways import judge, says_leaving, send_routed, stamped_instance
 
 DRAIN_S = 2.0  # from this long after a gateway has passed on that a target is leaving, it sends nothing there
 SETTLED_S = 3.0  # from this long after a cut, callers of the gateways that are cut off have to be served
@@ -55,8 +55,7 @@
             response = connection.getresponse()
             detail = response.read().decode()
             kind = judge(response, detail, request_id, request_id)
-            instance = response.getheader("X-Cassiarelay-Response-Stamp", "").partition(".")[0]
-            self._answers.append((sent_at, time.monotonic(), vm.name, instance, response.getheader("Server-Leaving") == "1"))
+            self._answers.append((sent_at, time.monotonic(), vm.name, stamped_instance(response), says_leaving(response)))
         except (OSError, http.client.HTTPException) as failure:
             detail = repr(failure)
         finally:
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -243,6 +243,15 @@
     return "answered" if stamped and whole else "wrong"
 
 
+def stamped_instance(response):
+    """The target that made the response; empty for a gateway's own."""
+    return response.getheader("X-Cassiarelay-Response-Stamp", "").partition(".")[0]
+
+
+def says_leaving(response):
+    return response.getheader("Server-Leaving") == "1"
+
+
 class RoutedCall:
     """One sending of a request in its own thread."""
 
