Run the stages of a request that came back from another daemon

Cause: a request that is handed over on arrival has run no stage. When the other daemon declined or could not be reached, and the service was in reach again, it was sent to a target with an incomplete plan; StagePlan::finalResults() dereferenced results that were not there.

Change: a request whose plan is not complete orders its stages before it is sent.

Evidence: declinedRequestRunsItsStagesBeforeItIsSent takes this way; by reading, the code before returned SendRequest there.

--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -513,6 +513,11 @@
         restartStages(actions, now);
         return;
     }
+    // A request that was handed over on arrival, and came back, has run none of its stages.
+    if (!m_plan.isComplete()) {
+        orderReadyStages(actions, now);
+        return;
+    }
     if (attemptsUsed() >= static_cast<std::size_t>(m_request.route->maxAttempts) && attemptsUsed() > 0) {
         const std::optional<TargetRecord> same = m_triedTargets.empty() ? std::nullopt : m_context.targets.find(*m_triedTargets.begin());
         if (!same || !isAllowedAgain(*same) || !m_context.targets.startAttempt(same->id, m_request.prompt.promptTokens, now)) {
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -580,4 +580,28 @@
     BOOST_TEST(machine.isFinished());
 }
 
+// A request that was handed over on arrival and came back was sent to a target without the results of its stages.
+BOOST_AUTO_TEST_CASE(declinedRequestRunsItsStagesBeforeItIsSent)
+{
+    Fixture fixture;
+    fixture.members.onGreeting({ VmId("vm-1"), { "10.0.0.1", 1001 }, 1, false }, {}, START);
+    const ServiceName service("engine");
+    fixture.reachability.recordFailure(service, START);
+    for (const ReachabilityProbe &probe : fixture.reachability.takeProbes(fixture.targets, START)) {
+        fixture.reachability.onProbed(probe, false, START);
+    }
+    BOOST_REQUIRE(fixture.reachability.isBlocked(service));
+    Route staged = route(RouteKind::Stream);
+    staged.stages = { { ServiceName("stage"), {}, 1000 } };
+    RelayMachine machine = fixture.machine(staged, { 1 });
+    const RelayActions first = machine.start(START);
+    BOOST_REQUIRE(find<HandOverRequest>(first));
+    for (const ReachabilityProbe &probe : fixture.reachability.takeProbes(fixture.targets, START + seconds(1))) {
+        fixture.reachability.onProbed(probe, true, START + seconds(1));
+    }
+    const RelayActions next = machine.onDeclined(find<HandOverRequest>(first)->attempt, DeclineReason::Unavailable, START + seconds(1));
+    BOOST_TEST(!find<SendRequest>(next));
+    BOOST_TEST(find<OrderPieces>(next));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
