--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -549,7 +549,7 @@
                m_context.targets.choose(targetRequirements(), now));
 }
 
-// Continues a request that nobody has run.
+// Continues a request that no target has run.
 void RelayMachine::sendElsewhere(
     GiveUpCause cause, const std::string &detail, Duration retryAfter, RelayActions &actions, MonotonicTime now)
 {
--- a/tests/auto/gateway/tst_members.cpp
+++ b/tests/auto/gateway/tst_members.cpp
@@ -260,7 +260,7 @@
         members.onGreeting(other, {}, START);
     }
     BOOST_TEST(!members.owner(service).has_value());
-    // When nobody reaches any, all agree on one as before.
+    // When no daemon reaches a target, all agree on one owner as before.
     members.setBlockedServices({ service });
     Members same(VmId("vm-0"), { "10.0.0.1", 1000 });
     for (int vm = 1; vm < 4; ++vm) {
