Bound what a greeting names, and keep the hash of known daemons

Cause: each greeting formatted and hashed the addresses of all daemons that its sender knows, three times, and named all of them whenever two daemons differed. With daemons that come and go they always differ: about 5 kB in each of 54 greetings a second and daemon at 295 daemons (computed, not measured).

Change: the hash is kept as members come and go, addresses are stored as text, and a greeting to a daemon that already knows others names 32 in turn. A daemon that knows only itself still gets all at once, since it shares limits by the size of the fleet. The simulated fleet uses the same function.

Tests: greetingsToDaemonsThatKnowOthersNameABoundedPart (the function is new, so it was not run on the code before, which names all 379 by reading); daemonsThatStartTogetherFindEachOtherBeforeTrafficStarts at 7, 63, 295 and 380.

--- a/src/app/gateway/peergossip.cpp
+++ b/src/app/gateway/peergossip.cpp
@@ -185,10 +185,8 @@
     greeting.leaving = m_isLeaving;
     greeting.capacity = m_capacity;
     greeting.knownHash = static_cast<std::int64_t>(m_members.knownDaemonsHash());
-    if (!m_members.knowsSameDaemons(receiver)) {
-        for (const Gateway::Member &member : m_members.alive()) {
-            greeting.known.push_back(member.endpoint.text());
-        }
+    for (const Endpoint &endpoint : m_members.daemonsToName(receiver)) {
+        greeting.known.push_back(endpoint.text());
     }
     greeting.domain = m_failureDomain.value();
     if (!m_members.blockedServices().empty()) {
--- a/src/libs/gateway/members.cpp
+++ b/src/libs/gateway/members.cpp
@@ -11,6 +11,7 @@
 constexpr std::chrono::milliseconds GREETING_TIMEOUT { 1000 };     // three missed greetings
 constexpr std::chrono::milliseconds RECENTLY_HEARD { 150 };        // half a round; the other daemon has just sent its greeting
 constexpr std::size_t GREETINGS_PER_ROUND = 8;                     // all others in a cell; a tenth of the fleet with 81 daemons
+constexpr std::size_t MAX_NAMED = 32;                              // about 600 bytes; twelve greetings name 380 daemons
 constexpr std::chrono::milliseconds FOLLOW_TIME { 2000 };          // longer than a stage takes
 constexpr double MIN_OWNER_CAPACITY = 0.5;                         // share of the highest capacity
 constexpr double MIN_CAPACITY = 0.01;                              // a member that names less still counts
@@ -22,7 +23,10 @@
 Members::Members(VmId self, Endpoint endpoint, double capacity)
     : m_self(std::move(self))
     , m_endpoint(std::move(endpoint))
+    , m_address(m_endpoint.text())
     , m_capacity(capacity)
+    , m_knownDaemonsHash(stableHash(m_address))
+    , m_lastNamed(m_self) // daemons that start together name different ones first
 {
 }
 
@@ -37,10 +41,10 @@
         candidate = candidate->second.isSeed ? m_candidates.erase(candidate) : std::next(candidate);
     }
     for (Endpoint &seed : seeds) {
-        if (seed.text() == m_endpoint.text()) {
+        const std::string key = seed.text();
+        if (key == m_address) {
             continue;
         }
-        const std::string key = seed.text();
         m_candidates[key] = { std::move(seed), {}, true };
     }
 }
@@ -48,8 +52,9 @@
 bool Members::onGreeting(const Member &member, const std::vector<Endpoint> &known, MonotonicTime now)
 {
     for (const Endpoint &endpoint : known) {
-        if (endpoint.text() != m_endpoint.text()) {
-            m_candidates.try_emplace(endpoint.text(), Candidate { endpoint, now, false });
+        const std::string address = endpoint.text();
+        if (address != m_address) {
+            m_candidates.try_emplace(address, Candidate { endpoint, now, false });
         }
     }
     if (member.vm == m_self) {
@@ -57,7 +62,9 @@
     }
     const auto found = m_members.find(member.vm);
     if (found == m_members.end()) {
-        m_members.emplace(member.vm, State { member, now });
+        const std::string address = member.endpoint.text();
+        m_members.emplace(member.vm, State { member, address, now });
+        m_knownDaemonsHash ^= stableHash(address);
         updateMaxKnownCount();
         return true;
     }
@@ -67,6 +74,11 @@
     }
     const bool isChanged = member.incarnation != state.member.incarnation || member.isLeaving != state.member.isLeaving
         || member.blockedServices != state.member.blockedServices;
+    const std::string address = member.endpoint.text();
+    if (address != state.address) {
+        m_knownDaemonsHash ^= stableHash(state.address) ^ stableHash(address);
+        state.address = address;
+    }
     state.member = member;
     state.heardAt = now;
     return isChanged;
@@ -81,7 +93,8 @@
             continue;
         }
         gone.push_back(state->second.member);
-        m_candidates.try_emplace(state->second.member.endpoint.text(), Candidate { state->second.member.endpoint, now, false });
+        m_candidates.try_emplace(state->second.address, Candidate { state->second.member.endpoint, now, false });
+        m_knownDaemonsHash ^= stableHash(state->second.address);
         state = m_members.erase(state);
     }
     for (auto candidate = m_candidates.begin(); candidate != m_candidates.end();) {
@@ -97,9 +110,9 @@
 {
     std::vector<Endpoint> endpoints;
     std::vector<State *> waiting;
-    std::set<std::string> memberAddresses;
+    std::set<std::string_view> memberAddresses;
     for (auto &[vm, state] : m_members) {
-        memberAddresses.insert(state.member.endpoint.text());
+        memberAddresses.insert(state.address);
         if (state.heardAt + RECENTLY_HEARD > now && !m_isLeaving) {
             continue;
         }
@@ -146,19 +159,46 @@
 
 std::uint64_t Members::knownDaemonsHash() const
 {
-    std::uint64_t hash = stableHash(m_endpoint.text());
+    return m_knownDaemonsHash;
+}
+
+std::vector<Endpoint> Members::daemonsToName(const Endpoint &receiver)
+{
+    const std::string address = receiver.text();
+    const auto found =
+        std::find_if(m_members.begin(), m_members.end(), [&address](const auto &entry) { return entry.second.address == address; });
+    const auto reports = [&found, this](std::uint64_t hash) {
+        return found != m_members.end() && found->second.member.knownDaemonsHash && *found->second.member.knownDaemonsHash == hash;
+    };
+    if (reports(m_knownDaemonsHash)) {
+        return {};
+    }
+    // A daemon that has just started shares limits among the daemons it knows of, so it must learn of all of them at once.
+    if (!reports(stableHash(address)) && m_members.size() > MAX_NAMED) {
+        return nextDaemonsToName();
+    }
+    std::vector<Endpoint> all;
+    all.reserve(m_members.size());
     for (const auto &[vm, state] : m_members) {
-        hash ^= stableHash(state.member.endpoint.text());
+        all.push_back(state.member.endpoint);
     }
-    return hash;
+    return all;
 }
 
-bool Members::knowsSameDaemons(const Endpoint &endpoint) const
+std::vector<Endpoint> Members::nextDaemonsToName()
 {
-    const auto found = std::find_if(m_members.begin(), m_members.end(), [&endpoint](const auto &entry) {
-        return entry.second.member.endpoint.text() == endpoint.text();
-    });
-    return found != m_members.end() && found->second.member.knownDaemonsHash == knownDaemonsHash();
+    std::vector<Endpoint> part;
+    part.reserve(MAX_NAMED);
+    auto next = m_members.upper_bound(m_lastNamed);
+    while (part.size() < MAX_NAMED) {
+        if (next == m_members.end()) {
+            next = m_members.begin();
+        }
+        part.push_back(next->second.member.endpoint);
+        m_lastNamed = next->first;
+        ++next;
+    }
+    return part;
 }
 
 void Members::onHeard(const VmId &vm, MonotonicTime now)
@@ -341,9 +381,9 @@
         m_maxKnownCount = std::max(m_maxKnownCount, count());
         return;
     }
-    std::set<std::string> addresses;
+    std::set<std::string_view> addresses;
     for (const auto &[vm, state] : m_members) {
-        addresses.insert(state.member.endpoint.text());
+        addresses.insert(state.address);
     }
     for (const auto &[address, candidate] : m_candidates) {
         if (!candidate.isSeed) {
--- a/src/libs/gateway/members.h
+++ b/src/libs/gateway/members.h
@@ -46,8 +46,13 @@
     std::vector<Member> alive() const;
     /** Hash of the addresses of this daemon and of those that are alive. */
     std::uint64_t knownDaemonsHash() const;
-    /** Whether the daemon at the endpoint last reported that it knows the same daemons as this one. */
-    bool knowsSameDaemons(const Endpoint &endpoint) const;
+    /**
+     * Addresses of other daemons that the next greeting to this one names.
+     *
+     * None if both know the same daemons, all if the receiver knows no others yet, else a few of them in turn: in a large fleet, what two
+     * daemons know differs all the time.
+     */
+    std::vector<Endpoint> daemonsToName(const Endpoint &receiver);
     /** A daemon that has responded to something else than a greeting is alive. */
     void onHeard(const VmId &vm, MonotonicTime now);
     /** Detects for a few seconds within a second when the daemon is lost. */
@@ -104,6 +109,7 @@
 private:
     struct State {
         Member member;
+        std::string address; ///< text of the member's endpoint
         MonotonicTime heardAt;
         MonotonicTime greetedAt {};
         MonotonicTime avoidedUntil {};
@@ -122,14 +128,18 @@
     std::optional<Member> highestRanked(const ServiceName &service, Condition isCandidate) const;
 
     Duration greetingTimeout(const State &state, MonotonicTime now) const;
+    std::vector<Endpoint> nextDaemonsToName();
     void updateMaxKnownCount();
     /** Rank of the member in a rendezvous ranking that takes the capacity into account; the highest one wins. */
     static double weightedRank(const Member &member, std::uint64_t key);
 
     VmId m_self;
     Endpoint m_endpoint;
+    std::string m_address; ///< text of the endpoint
     double m_capacity;
+    std::uint64_t m_knownDaemonsHash;
     int m_maxKnownCount = 0;
+    VmId m_lastNamed; ///< last of the members that a greeting has named in turn
     bool m_isLeaving = false;
     std::set<ServiceName> m_blockedServices;
     std::map<VmId, State> m_members;
--- a/tests/auto/gateway/simulatedfleet.cpp
+++ b/tests/auto/gateway/simulatedfleet.cpp
@@ -132,14 +132,10 @@
 
 void SimulatedFleet::greet(int from, int to, MonotonicTime now)
 {
-    std::vector<Endpoint> known;
-    if (members(to).count() < members(from).count()) {
-        for (const Member &member : members(from).alive()) {
-            known.push_back(member.endpoint);
-        }
-    }
+    const std::vector<Endpoint> known = members(from).daemonsToName(endpointOf(to));
     m_onGreeting(from, to);
     Member sender { vmId(from), endpointOf(from), 1, false };
+    sender.knownDaemonsHash = members(from).knownDaemonsHash();
     sender.blockedServices = members(from).blockedServices();
     if (members(to).onGreeting(sender, known, now) && m_onChange) {
         m_onChange(to);
--- a/tests/auto/gateway/tst_members.cpp
+++ b/tests/auto/gateway/tst_members.cpp
@@ -1,5 +1,7 @@
-#include "samples.h"
+#include "simulatedfleet.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace CassiaRelay;
@@ -128,11 +130,85 @@
         to.onGreeting(sender, {}, START);
     };
     greet(second, 1, first);
-    BOOST_TEST(!first.knowsSameDaemons(endpoint(1)));
+    BOOST_TEST(!first.daemonsToName(endpoint(1)).empty());
     greet(first, 0, second);
     greet(second, 1, first);
-    BOOST_TEST(first.knowsSameDaemons(endpoint(1)));
-    BOOST_TEST(!first.knowsSameDaemons(endpoint(2)));
+    BOOST_TEST(first.daemonsToName(endpoint(1)).empty());
+    BOOST_TEST(!first.daemonsToName(endpoint(2)).empty());
+}
+
+// Regression: with 295 daemons that come and go, each of 54 greetings a second and daemon named all the others.
+BOOST_AUTO_TEST_CASE(greetingsToDaemonsThatKnowOthersNameABoundedPart)
+{
+    constexpr int COUNT = 380;
+    constexpr std::size_t MAX_NAMED = 32;
+    Members members(VmId("vm0"), endpoint(0));
+    for (int other = 1; other < COUNT; ++other) {
+        Member greeting = member(other);
+        greeting.knownDaemonsHash = other;
+        members.onGreeting(greeting, {}, START);
+    }
+    std::set<std::string> named;
+    for (int greeting = 0; greeting < 12; ++greeting) {
+        const std::vector<Endpoint> part = members.daemonsToName(endpoint(7));
+        BOOST_TEST(part.size() == MAX_NAMED);
+        for (const Endpoint &daemon : part) {
+            named.insert(daemon.text());
+        }
+    }
+    BOOST_TEST(named.size() == COUNT - 1U);
+}
+
+// Regression: a restarted daemon must not learn the size of the fleet only in parts.
+BOOST_AUTO_TEST_CASE(greetingToADaemonThatKnowsNoOtherNamesAll)
+{
+    constexpr int COUNT = 380;
+    Members members(VmId("vm0"), endpoint(0));
+    for (int other = 1; other < COUNT; ++other) {
+        members.onGreeting(member(other), {}, START);
+    }
+    Member started = member(7);
+    started.knownDaemonsHash = Members(started.vm, started.endpoint).knownDaemonsHash();
+    members.onGreeting(started, {}, START);
+    BOOST_TEST(members.daemonsToName(started.endpoint).size() == COUNT - 1U);
+}
+
+BOOST_AUTO_TEST_CASE(hashOfKnownDaemonsFollowsAddressesAndLosses)
+{
+    Members members(VmId("vm0"), endpoint(0));
+    const std::uint64_t alone = members.knownDaemonsHash();
+    members.onGreeting(member(1), {}, START);
+    const std::uint64_t first = members.knownDaemonsHash();
+    Member moved = member(1);
+    moved.endpoint = endpoint(2);
+    members.onGreeting(moved, {}, START + seconds(1));
+    const std::uint64_t second = members.knownDaemonsHash();
+    BOOST_TEST(alone != first);
+    BOOST_TEST(first != second);
+    BOOST_TEST(members.expire(START + seconds(60)).size() == 1U);
+    BOOST_TEST(members.knownDaemonsHash() == alone);
+}
+
+// All daemons start together with their seeds only; callers come ten seconds after the VMs.
+BOOST_DATA_TEST_CASE(daemonsThatStartTogetherFindEachOtherBeforeTrafficStarts,
+                     boost::unit_test::data::make(std::vector<int> { 7, 63, 295, 380 }),
+                     vms)
+{
+    SimulatedFleet fleet(
+        vms, [](int, int) {}, START);
+    for (int vm = 0; vm < vms; ++vm) {
+        fleet.kill(vm);
+    }
+    for (int vm = 0; vm < vms; ++vm) {
+        fleet.start(vm);
+    }
+    MonotonicTime now = START;
+    for (; now < START + seconds(10); now += milliseconds(10)) {
+        fleet.exchangeGreetings(now);
+    }
+    for (int vm = 0; vm < vms; ++vm) {
+        BOOST_TEST(fleet.members(vm).maxKnownCount().value_or(0) == vms);
+    }
 }
 
 // Regression: a VM with a tenth of a core and a slow link collected the pieces of the whole fleet while larger ones were idle.
