Ask the store as seldom as the deployment's bounds allow

Cause: every daemon watched the store for 1 s at a time, a constant that fits deployments in which a change must be in force within 2 s.

Change: the shortest of the times in which changes must be in force is a setting (changeMs, from the platform's bounds); watchTiming derives wait and interval from it, so that a change is known in time also on a connection that has gone silent. With 2 s they are what they were.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -126,6 +126,7 @@
                 m_storeClient,
                 port,
                 settings.store,
+                settings.changeTime,
                 m_catalogue,
                 m_log,
                 [this](const Gateway::CatalogueChanges &changes) { onCatalogueChanges(changes); })
--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr unsigned STATUS_OK = 200;
-constexpr std::chrono::milliseconds WATCH_INTERVAL { 800 }; // a change is known at most this time plus one call later; 2 s are allowed
-constexpr std::chrono::milliseconds WATCH_WAIT { 1000 };    // long-poll time; a silent connection is detected RESPONSE_TIMEOUT later
 constexpr std::chrono::milliseconds RESPONSE_TIMEOUT {
     700
 }; // responses begin after milliseconds, or a few hundred while the store is slow
@@ -25,12 +23,14 @@
                            Net::HttpClient &client,
                            const Gateway::PlatformPort &port,
                            Endpoint store,
+                           Duration changeTime,
                            Gateway::Catalogue &catalogue,
                            EventLog &log,
                            ChangeHandler changeHandler)
     : m_client(client)
     , m_port(port)
     , m_store(std::move(store))
+    , m_timing(Gateway::watchTiming(changeTime, RESPONSE_TIMEOUT + MIN_RETRY_DELAY))
     , m_catalogue(catalogue)
     , m_log(log)
     , m_changeHandler(std::move(changeHandler))
@@ -72,7 +72,7 @@
 void StoreWatcher::watch()
 {
     m_watchStartedAt = std::chrono::steady_clock::now();
-    sendCall(m_port.watchRequest(m_catalogue.revision(), WATCH_WAIT), WATCH_WAIT + RESPONSE_TIMEOUT, [this] { onChanges(); });
+    sendCall(m_port.watchRequest(m_catalogue.revision(), m_timing.wait), m_timing.wait + RESPONSE_TIMEOUT, [this] { onChanges(); });
 }
 
 void StoreWatcher::sendCall(Gateway::PlatformRequest platformRequest, Duration timeToFirstByte, std::function<void()> onReply)
@@ -199,7 +199,7 @@
         onFailure(error.what());
         return;
     }
-    runAfter(std::max<Duration>(Duration::zero(), m_watchStartedAt + WATCH_INTERVAL - now), &StoreWatcher::watch);
+    runAfter(std::max<Duration>(Duration::zero(), m_watchStartedAt + m_timing.interval - now), &StoreWatcher::watch);
 }
 
 void StoreWatcher::onFailure(const std::string &reason)
--- a/src/app/gateway/storewatcher.h
+++ b/src/app/gateway/storewatcher.h
@@ -23,10 +23,12 @@
 public:
     using ChangeHandler = std::function<void(const Gateway::CatalogueChanges &)>;
 
+    /** @param changeTime in which a change in the store must be in force */
     StoreWatcher(boost::asio::io_context &context,
                  Net::HttpClient &client,
                  const Gateway::PlatformPort &port,
                  Endpoint store,
+                 Duration changeTime,
                  Gateway::Catalogue &catalogue,
                  EventLog &log,
                  ChangeHandler changeHandler);
@@ -61,6 +63,7 @@
     Net::HttpClient &m_client;
     const Gateway::PlatformPort &m_port;
     Endpoint m_store;
+    Gateway::WatchTiming m_timing;
     Gateway::Catalogue &m_catalogue;
     EventLog &m_log;
     ChangeHandler m_changeHandler;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -29,3 +29,4 @@
 #include "targetrecord.h"
 #include "targetregistry.h"
 #include "targetstatements.h"
+#include "watchtiming.h"
--- a/src/libs/settings/gatewaysettings.cpp
+++ b/src/libs/settings/gatewaysettings.cpp
@@ -2,6 +2,8 @@
 
 #include "document.h"
 
+#include <algorithm>
+
 namespace CassiaRelay::Settings {
 
 namespace {
@@ -14,6 +16,7 @@
 constexpr double DEFAULT_COLD_SLACK = 0;
 constexpr int DEFAULT_MAX_VMS = 380; // the largest fleet that the design supports
 constexpr double DEFAULT_CAPACITY = 1;
+constexpr std::chrono::milliseconds DEFAULT_CHANGE_TIME { 2000 };
 constexpr int DEFAULT_METRICS_PORT = 9464; // the customary port of Prometheus exporters
 
 Duration seconds(double value)
@@ -31,6 +34,13 @@
     return regions;
 }
 
+Duration shortestChangeTime(const Schema::GatewaySettings &raw)
+{
+    const std::vector<std::int64_t> times = raw.changeMs.value_or(std::vector<std::int64_t>());
+    const auto shortest = std::min_element(times.begin(), times.end());
+    return shortest == times.end() ? DEFAULT_CHANGE_TIME : std::chrono::milliseconds(*shortest);
+}
+
 } // namespace
 
 GatewaySettings loadGatewaySettings(const std::string &fileName)
@@ -63,6 +73,7 @@
     settings.coldFactor = raw.coldFactor.value_or(DEFAULT_COLD_FACTOR);
     settings.coldSlack = raw.coldSlack.value_or(DEFAULT_COLD_SLACK);
     settings.maxVms = static_cast<int>(raw.maxVms.value_or(DEFAULT_MAX_VMS));
+    settings.changeTime = shortestChangeTime(raw);
     settings.capacity = raw.capacity.value_or(DEFAULT_CAPACITY);
     settings.logLevel = raw.logLevel.value_or(Schema::LogLevel::Info);
     return settings;
--- a/src/libs/settings/gatewaysettings.h
+++ b/src/libs/settings/gatewaysettings.h
@@ -30,6 +30,7 @@
     double coldFactor = 0;
     double coldSlack = 0;
     int maxVms = 1;
+    Duration changeTime {}; ///< in which a change in the store must be in force
     double capacity = 1;
     Schema::LogLevel logLevel = Schema::LogLevel::Info;
 };
--- a/tests/auto/settings/tst_gatewaysettings.cpp
+++ b/tests/auto/settings/tst_gatewaysettings.cpp
@@ -24,6 +24,13 @@
     BOOST_TEST(!settings.peers.has_value());
     BOOST_TEST((settings.shutdownTime == std::chrono::seconds(8)));
     BOOST_TEST(settings.regions.at(FailureDomain("a")) == "north");
+    BOOST_TEST((settings.changeTime == std::chrono::seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(shortestChangeTimeCounts)
+{
+    const GatewaySettings settings = parseGatewaySettings(MINIMAL.substr(0, MINIMAL.size() - 2) + ", \"changeMs\": [4000, 3000]}", "test");
+    BOOST_TEST((settings.changeTime == std::chrono::seconds(3)));
 }
 
 BOOST_AUTO_TEST_CASE(mistakesAreNamedWithARemedy)
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -202,7 +202,8 @@
             "listen": {"front": vm.endpoint(vm.caller_port), "ready": vm.endpoint(vm.ready_port), "control": vm.endpoint(vm.peer_port)},
             "platform": {"address": f"127.0.0.1:{store_port}"}, "seeds": seeds,
             "limits": {"cpuShare": 0.25},
-            "bounds": {"graceS": shutdown_s, "retryBudgetRatio": 0.2, "budgetExtra": 50, "budgetWindowS": 10, "coldOver": 1.5, "coldSlack": 5}}))
+            "bounds": {"graceS": shutdown_s, "retryBudgetRatio": 0.2, "budgetExtra": 50, "budgetWindowS": 10, "coldOver": 1.5, "coldSlack": 5,
+                       "drainMs": 2000, "configApplyMs": 2000}}))
         return path
 
     def is_ready(self, vm):
