Let streams go on only where one version is certain

Callers saw: after all daemons were killed, streams that had begun at the old version went on at the new one, with 200 and nothing to show it, if the old version's targets had just left. Callers that name the request that began their stream were refused instead, and told to come back after 50 ms each time.

Cause: for callers without the name of the request, the versions listed at the moment decided; a daemon that has just started took the present for the past.

Change: VersionHistory tells for how long one version has been alone, as far back as a daemon follows the store without a gap; peers that are asked for a record tell theirs. Only when that covers the age that the stream may have does it go on without a record.

--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -95,13 +95,13 @@
     const Gateway::RelayRequest &request = m_machine.request();
     addTraceLine("stream resumed",
                  "stream=" + (request.resumedStream ? request.resumedStream->value() : "unknown") + " after=" + *request.resumeAfter);
-    if (!request.resumedStream) {
-        onOrigin(m_services.relayContext.targets.onlyVersion(request.service));
-        return;
+    ResumedStream resumed { request.resumedStream, request.id, std::nullopt, request.maxStreamAge() };
+    // Of a route to several services, the service is chosen by the id of the request, which is not that of the first one.
+    if (request.route->services.size() == 1) {
+        resumed.service = request.service;
     }
-    m_services.streamBroker.find(*request.resumedStream, [self = shared_from_this()](const std::optional<Gateway::StreamOrigin> &origin) {
-        self->onOrigin(origin);
-    });
+    m_services.streamBroker.find(
+        resumed, [self = shared_from_this()](const std::optional<Gateway::StreamOrigin> &origin) { self->onOrigin(origin); });
 }
 
 // The caller may have left in the meantime.
@@ -116,7 +116,7 @@
                          + " of_route=" + (isOfRoute ? "yes" : "no")
                         : "unknown");
     if (!isOfRoute) {
-        perform(m_machine.onUnknownOrigin());
+        perform(m_machine.onUnknownOrigin(std::chrono::steady_clock::now()));
         return;
     }
     m_machine.setOrigin(*origin);
--- a/src/app/gateway/streambroker.cpp
+++ b/src/app/gateway/streambroker.cpp
@@ -19,16 +19,21 @@
 
 /** The search for the origin of one stream. */
 struct StreamBroker::Search {
-    RequestId stream;
+    ResumedStream resumed;
     FoundHandler onFound; ///< empty once it was called
     std::size_t openQueries = 0;
 };
 
-StreamBroker::StreamBroker(
-    boost::asio::io_context &context, Net::HttpClient &peerClient, Gateway::Members &members, Metrics::Registry &metrics, EventLog &log)
+StreamBroker::StreamBroker(boost::asio::io_context &context,
+                           Net::HttpClient &peerClient,
+                           Gateway::Members &members,
+                           const Gateway::Catalogue &catalogue,
+                           Metrics::Registry &metrics,
+                           EventLog &log)
     : m_context(context)
     , m_peerClient(peerClient)
     , m_members(members)
+    , m_catalogue(catalogue)
     , m_log(log)
     , m_recordCounter(metrics.counter("cassiarelay_stream_records_sent_total"))
     , m_queryCounter(metrics.counter("cassiarelay_stream_queries_sent_total"))
@@ -65,16 +70,23 @@
     }
 }
 
-void StreamBroker::find(const RequestId &stream, FoundHandler onFound)
+void StreamBroker::find(const ResumedStream &resumed, FoundHandler onFound)
 {
-    const std::optional<Gateway::StreamOrigin> known = m_directory.find(stream);
-    const std::vector<Gateway::Member> others = m_members.ranked(stream.value(), ASKED);
-    if (known || others.empty()) {
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    std::optional<Gateway::StreamOrigin> known = resumed.stream ? m_directory.find(*resumed.stream) : std::nullopt;
+    const std::optional<Gateway::SoleVersion> sole = resumed.service ? m_catalogue.soleVersion(*resumed.service, now) : std::nullopt;
+    if (!known) {
+        known = provenOrigin(resumed, sole);
+    }
+    // Without a record, and with several versions listed, the others can't know more.
+    const bool isUseful = resumed.stream || sole;
+    const std::vector<Gateway::Member> others = m_members.ranked(resumed.stream.value_or(resumed.request).value(), ASKED);
+    if (known || !isUseful || others.empty()) {
         boost::asio::post(m_context, [known, onFound = std::move(onFound)] { onFound(known); });
         return;
     }
     auto search = std::make_shared<Search>();
-    search->stream = stream;
+    search->resumed = resumed;
     search->onFound = std::move(onFound);
     search->openQueries = others.size();
     for (const Gateway::Member &member : others) {
@@ -109,11 +121,18 @@
     try {
         const auto message = Schema::parseBoundedCbor(exchange->request().body()).get<Schema::StreamQuery>();
         const std::optional<Gateway::StreamOrigin> origin = m_directory.find(RequestId(message.stream));
+        const std::optional<Gateway::SoleVersion> sole = message.service
+            ? m_catalogue.soleVersion(Gateway::ServiceName(*message.service), std::chrono::steady_clock::now())
+            : std::nullopt;
         Schema::StreamAnswer answer;
         if (origin) {
             answer.service = origin->service.value();
             answer.version = origin->softwareVersion;
         }
+        if (sole) {
+            answer.soleVersion = sole->softwareVersion;
+            answer.aloneMs = std::chrono::duration_cast<std::chrono::milliseconds>(sole->alone).count();
+        }
         response.body = Schema::toCbor(answer);
     } catch (const std::exception &error) {
         m_log.write("invalid stream query", { { "reason", error.what() } }, std::chrono::steady_clock::now());
@@ -126,7 +145,10 @@
 {
     m_queryCounter.add();
     Schema::StreamQuery message;
-    message.stream = search->stream.value();
+    message.stream = search->resumed.stream ? search->resumed.stream->value() : std::string();
+    if (search->resumed.service) {
+        message.service = search->resumed.service->value();
+    }
     Net::HttpCallRequest request = peerRequest(member.endpoint, QUERIES_PATH, Schema::toCbor(message));
     request.deadline = std::chrono::steady_clock::now() + QUERY_TIMEOUT;
     auto status = std::make_shared<unsigned>(0);
@@ -135,39 +157,65 @@
     handlers.onHead = [status](const Net::HttpCallHead &head) { *status = head.status; };
     handlers.onBody = [body](const std::string &part) { *body += part; };
     handlers.onFinished = [this, search, status, body] {
-        std::optional<Gateway::StreamOrigin> origin;
+        Schema::StreamAnswer answer;
         try {
-            const auto answer =
-                *status == STATUS_OK ? Schema::parseBoundedCbor(*body).get<Schema::StreamAnswer>() : Schema::StreamAnswer {};
-            if (answer.service && answer.version) {
-                origin = Gateway::StreamOrigin { Gateway::ServiceName(*answer.service), *answer.version };
-            }
+            answer = *status == STATUS_OK ? Schema::parseBoundedCbor(*body).get<Schema::StreamAnswer>() : Schema::StreamAnswer {};
         } catch (const std::exception &error) {
             m_log.write("invalid stream answer", { { "reason", error.what() } }, std::chrono::steady_clock::now());
         }
-        onAnswer(search, origin);
+        onAnswer(search, answer);
     };
     handlers.onFailed = [this, search](Net::CallFailure, const std::string &reason) {
-        m_log.write(
-            "stream query failed", { { "request", search->stream.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
-        onAnswer(search, std::nullopt);
+        m_log.write("stream query failed",
+                    { { "request", search->resumed.request.value() }, { "reason", reason } },
+                    std::chrono::steady_clock::now());
+        onAnswer(search, {});
     };
     m_peerClient.send(std::move(request), std::move(handlers));
 }
 
 // The first daemon that knows the stream decides: a stream is bound to one version, so all copies are equal.
-void StreamBroker::onAnswer(const std::shared_ptr<Search> &search, const std::optional<Gateway::StreamOrigin> &origin)
+void StreamBroker::onAnswer(const std::shared_ptr<Search> &search, const Schema::StreamAnswer &answer)
 {
     --search->openQueries;
-    if (!search->onFound || (!origin && search->openQueries > 0)) {
+    if (!search->onFound) {
+        return;
+    }
+    const ResumedStream &resumed = search->resumed;
+    if (answer.service && answer.version) {
+        finish(*search, Gateway::StreamOrigin { Gateway::ServiceName(*answer.service), *answer.version });
         return;
     }
-    if (origin) {
-        m_directory.record(search->stream, *origin, std::chrono::steady_clock::now());
-    } else {
+    std::optional<Gateway::StreamOrigin> proven;
+    if (answer.soleVersion && answer.aloneMs) {
+        proven = provenOrigin(resumed, Gateway::SoleVersion { *answer.soleVersion, std::chrono::milliseconds(*answer.aloneMs) });
+    }
+    if (proven || search->openQueries == 0) {
+        finish(*search, proven);
+    }
+}
+
+void StreamBroker::finish(Search &search, const std::optional<Gateway::StreamOrigin> &origin)
+{
+    if (!origin) {
         m_unknownCounter.add();
+    } else if (search.resumed.stream) {
+        m_directory.record(*search.resumed.stream, *origin, std::chrono::steady_clock::now());
+    }
+    std::exchange(search.onFound, nullptr)(origin);
+}
+
+std::optional<Gateway::StreamOrigin> StreamBroker::provenOrigin(const ResumedStream &resumed,
+                                                                const std::optional<Gateway::SoleVersion> &seen) const
+{
+    if (!resumed.service || !seen || !seen->hasBegunAllStreams(resumed.maxAge)) {
+        return std::nullopt;
+    }
+    const std::optional<Gateway::SoleVersion> here = m_catalogue.soleVersion(*resumed.service, std::chrono::steady_clock::now());
+    if (!here || here->softwareVersion != seen->softwareVersion) {
+        return std::nullopt;
     }
-    std::exchange(search->onFound, nullptr)(origin);
+    return Gateway::StreamOrigin { *resumed.service, seen->softwareVersion };
 }
 
 } // namespace CassiaRelay::GatewayDaemon
--- a/src/app/gateway/streambroker.h
+++ b/src/app/gateway/streambroker.h
@@ -12,6 +12,14 @@
 
 namespace CassiaRelay::GatewayDaemon {
 
+/** What is known of a stream that a caller resumes here. */
+struct ResumedStream {
+    std::optional<RequestId> stream; ///< request that brought its first event, if the caller names it
+    RequestId request;
+    std::optional<Gateway::ServiceName> service; ///< that must have run it; no value if there are several
+    Duration maxAge {};                          ///< longest time since it began
+};
+
 /** Tells other daemons where streams begin, and finds out where a stream began that a caller resumes here. */
 class StreamBroker
 {
@@ -21,12 +29,16 @@
     StreamBroker(boost::asio::io_context &context,
                  Net::HttpClient &peerClient,
                  Gateway::Members &members,
+                 const Gateway::Catalogue &catalogue,
                  Metrics::Registry &metrics,
                  EventLog &log);
 
     void record(const RequestId &stream, const Gateway::StreamOrigin &origin);
-    /** @param onFound called later in any case; without a value if no daemon that was asked knows the stream */
-    void find(const RequestId &stream, FoundHandler onFound);
+    /**
+     * Finds the origin of a stream: from a record, or because only one version can have begun it.
+     * @param onFound called later in any case; without a value if the origin is not certain
+     */
+    void find(const ResumedStream &resumed, FoundHandler onFound);
     void removeExpired();
 
     void handleRecord(const Net::HttpExchangePointer &exchange);
@@ -39,11 +51,15 @@
     struct Search;
 
     void ask(const Gateway::Member &member, const std::shared_ptr<Search> &search);
-    void onAnswer(const std::shared_ptr<Search> &search, const std::optional<Gateway::StreamOrigin> &origin);
+    void onAnswer(const std::shared_ptr<Search> &search, const Schema::StreamAnswer &answer);
+    void finish(Search &search, const std::optional<Gateway::StreamOrigin> &origin);
+    /** The origin if the only version that targets of the service run here has run alone since before the stream can have begun. */
+    std::optional<Gateway::StreamOrigin> provenOrigin(const ResumedStream &resumed, const std::optional<Gateway::SoleVersion> &seen) const;
 
     boost::asio::io_context &m_context;
     Net::HttpClient &m_peerClient;
     const Gateway::Members &m_members;
+    const Gateway::Catalogue &m_catalogue;
     EventLog &m_log;
     Metrics::Counter &m_recordCounter;
     Metrics::Counter &m_queryCounter;
--- a/src/libs/gateway/catalogue.cpp
+++ b/src/libs/gateway/catalogue.cpp
@@ -22,6 +22,7 @@
 
 CatalogueChanges Catalogue::applyListing(const std::vector<StoreEntry> &entries, std::int64_t revision, MonotonicTime now)
 {
+    m_versions.restart(now);
     CatalogueChanges result;
     std::set<TargetId> listed;
     std::set<FailureDomain> disabled;
@@ -113,6 +114,7 @@
         const auto target = m_targets.find(removal->first);
         m_droppedTargets[removal->first] = { target->second.startedAt, now };
         m_targets.erase(target);
+        m_versions.remove(removal->first, now);
         changes.emplace_back(TargetDropped { removal->first, false });
         removal = m_pendingRemovals.erase(removal);
     }
@@ -139,6 +141,11 @@
     return !m_targets.empty();
 }
 
+std::optional<SoleVersion> Catalogue::soleVersion(const ServiceName &service, MonotonicTime now) const
+{
+    return m_storeUnavailable ? std::nullopt : m_versions.soleVersion(service, now);
+}
+
 std::int64_t Catalogue::revision() const
 {
     return m_revision;
@@ -160,7 +167,7 @@
                            changes.emplace_back(DomainChanged { restored.domain, false });
                        }
                    },
-                   [&](const TargetPublished &published) { adoptTarget(published.record, changes); },
+                   [&](const TargetPublished &published) { adoptTarget(published.record, changes, now); },
                    [&](const TargetRemoved &removed) { dropTarget(removed.id, changes, now); },
                    [&](const InvalidEntry &invalid) {
                        changes.emplace_back(EntryRejected { invalid.key, invalid.reason });
@@ -178,7 +185,7 @@
     changes.emplace_back(TableAdopted { m_table });
 }
 
-void Catalogue::adoptTarget(const TargetRecord &record, CatalogueChanges &changes)
+void Catalogue::adoptTarget(const TargetRecord &record, CatalogueChanges &changes, MonotonicTime now)
 {
     m_pendingRemovals.erase(record.id);
     m_droppedTargets.erase(record.id);
@@ -187,6 +194,7 @@
         changes.emplace_back(TargetDropped { record.id, true });
     }
     m_targets[record.id] = record;
+    m_versions.add(record, now);
     changes.emplace_back(TargetAdopted { record });
 }
 
@@ -203,6 +211,7 @@
     m_pendingRemovals.erase(id);
     m_droppedTargets[id] = { known->second.startedAt, now };
     m_targets.erase(known);
+    m_versions.remove(id, now);
     changes.emplace_back(TargetDropped { id, false });
 }
 
--- a/src/libs/gateway/catalogue.h
+++ b/src/libs/gateway/catalogue.h
@@ -2,6 +2,7 @@
 
 #include "routetable.h"
 #include "storeentry.h"
+#include "versionhistory.h"
 
 #include <functional>
 #include <map>
@@ -67,12 +68,14 @@
 
     const RouteTablePointer &table() const;
     bool hasTargets() const;
+    /** Like VersionHistory::soleVersion(), but without a value while the store is unavailable: targets may come and go unnoticed. */
+    std::optional<SoleVersion> soleVersion(const ServiceName &service, MonotonicTime now) const;
     std::int64_t revision() const;
 
 private:
     void apply(const StoreEntry &entry, CatalogueChanges &changes, MonotonicTime now);
     void adoptConfiguration(const Configuration &configuration, CatalogueChanges &changes);
-    void adoptTarget(const TargetRecord &record, CatalogueChanges &changes);
+    void adoptTarget(const TargetRecord &record, CatalogueChanges &changes, MonotonicTime now);
     void dropTarget(const TargetId &id, CatalogueChanges &changes, MonotonicTime now);
     std::optional<StoreEntry> withoutOutdatedState(const StoreEntry &entry) const;
     void forgetDroppedTargets(MonotonicTime now);
@@ -85,6 +88,7 @@
 
     RouteTablePointer m_table;
     std::map<TargetId, TargetRecord> m_targets;
+    VersionHistory m_versions;
     std::map<TargetId, MonotonicTime> m_pendingRemovals; ///< end of the grace period, by target
     std::map<TargetId, DroppedTarget> m_droppedTargets;
     std::set<FailureDomain> m_disabledDomains;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -29,4 +29,5 @@
 #include "targetrecord.h"
 #include "targetregistry.h"
 #include "targetstatements.h"
+#include "versionhistory.h"
 #include "watchtiming.h"
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -125,11 +125,13 @@
     m_softwareVersion = origin.softwareVersion;
 }
 
-RelayActions RelayMachine::onUnknownOrigin()
+// Other daemons were asked, so the stream will hardly go on anywhere while its caller waits. A daemon that knows no other has just started.
+RelayActions RelayMachine::onUnknownOrigin(MonotonicTime now)
 {
     RelayActions actions;
     if (!m_finished) {
-        giveUp(GiveUpCause::UnknownOrigin, {}, RETRY_ELSEWHERE, actions);
+        const Duration retryAfter = m_context.members.count() > 1 ? std::max<Duration>(RETRY_LATER, m_request.endsAt() - now) : RETRY_SOON;
+        giveUp(GiveUpCause::UnknownOrigin, {}, retryAfter, actions);
     }
     return actions;
 }
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -53,7 +53,7 @@
     /** Binds a stream that the caller resumes to its origin; call before start(). */
     void setOrigin(const StreamOrigin &origin);
     /** Refuses a stream that the caller resumes because nobody knows its origin. */
-    RelayActions onUnknownOrigin();
+    RelayActions onUnknownOrigin(MonotonicTime now);
     RelayActions onStageFinished(std::size_t stage, const std::vector<PieceCompletion> &completions, MonotonicTime now);
     /** The issuer has answered or can't be asked; permits that it issued are known to the target registry. */
     RelayActions onPermits(MonotonicTime now);
--- a/src/libs/gateway/relayrequest.h
+++ b/src/libs/gateway/relayrequest.h
@@ -3,6 +3,7 @@
 #include "routetable.h"
 #include "streamdirectory.h"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -52,6 +53,13 @@
     {
         return route->kind == RouteKind::Stream && route->isResumable && resumeAfter && !resumeAfter->empty() && *resumeAfter != "0";
     }
+    /** How long ago the resumed stream began at the most: before that, its caller would not be waiting any more. */
+    Duration maxStreamAge() const
+    {
+        constexpr std::chrono::seconds LONGEST_PATIENCE { 15 }; // of callers whose route states no longer timeout
+        const Duration left = deadline - arrivedAt;
+        return std::max<Duration>({ route->timeout, LONGEST_PATIENCE, left }) - left;
+    }
     int rank() const
     {
         return organisation && organisation->rank ? *organisation->rank : route->rank;
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -270,19 +270,6 @@
     return found == m_regions.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::optional<StreamOrigin> TargetRegistry::onlyVersion(const ServiceName &service) const
-{
-    const auto ids = m_byService.find(service);
-    if (ids == m_byService.end() || ids->second.empty()) {
-        return std::nullopt;
-    }
-    const std::string &version = m_targets.at(*ids->second.begin()).record.softwareVersion;
-    const bool isOnly = std::all_of(ids->second.begin(), ids->second.end(), [this, &version](const TargetId &id) {
-        return m_targets.at(id).record.softwareVersion == version;
-    });
-    return isOnly ? std::optional(StreamOrigin { service, version }) : std::nullopt;
-}
-
 std::optional<TargetRecord> TargetRegistry::find(const TargetId &id) const
 {
     const auto found = m_targets.find(id);
--- a/src/libs/gateway/targetregistry.h
+++ b/src/libs/gateway/targetregistry.h
@@ -104,8 +104,6 @@
     std::vector<TargetRecord> sample(const ServiceName &service, std::size_t maxCount);
     /** Returns the region of a failure domain; no value if it is unknown. */
     std::optional<Region> regionOf(const FailureDomain &domain) const;
-    /** Returns the service with its software version if all its targets run the same one. */
-    std::optional<StreamOrigin> onlyVersion(const ServiceName &service) const;
     std::optional<TargetRecord> find(const TargetId &id) const;
     /** Returns the recent mean response time of the target, or 0 if it is unknown. */
     Duration latency(const TargetId &id) const;
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -326,11 +326,24 @@
 {
     VersionFixture fixture;
     RelayMachine machine = fixture.stream(2, true);
-    const RelayActions last = machine.onUnknownOrigin();
+    const RelayActions last = machine.onUnknownOrigin(START);
     BOOST_TEST(!find<SendRequest>(last));
     BOOST_REQUIRE(find<RefuseRequest>(last));
     BOOST_TEST(find<RefuseRequest>(last)->status == 503U);
-    BOOST_TEST(fixture.targets.onlyVersion(ServiceName("engine")).has_value() == false);
+}
+
+// Regression: callers of streams that could not go on were told to come back after 50 ms, hundreds of times each.
+BOOST_AUTO_TEST_CASE(callerOfAStreamOfUnknownOriginIsNotToldToComeBackSoon)
+{
+    VersionFixture fixture;
+    RelayMachine lone = fixture.stream(2, true);
+    const RelayActions starting = lone.onUnknownOrigin(START);
+    BOOST_TEST((find<RefuseRequest>(starting)->retryAfter.value() < seconds(1)));
+    fixture.context.members.onGreeting({ VmId("vm2"), { "127.0.0.1", 9002 } }, {}, START);
+    RelayMachine machine = fixture.stream(2, true);
+    const Duration left = machine.request().endsAt() - START;
+    const RelayActions last = machine.onUnknownOrigin(START);
+    BOOST_TEST((find<RefuseRequest>(last)->retryAfter.value() >= left / 2));
 }
 
 // A stream that may not be resumed is not bound to a version, and neither is another request.
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -307,8 +307,9 @@
 class ResumedStream:
     """One stream of a caller that takes it up again at another daemon after it was broken off."""
 
-    def __init__(self, request_id):
+    def __init__(self, request_id, names_stream=True):
         self.request_id = request_id
+        self.names_stream = names_stream  # tells, when it resumes, which request began the stream
         self.events = []  # (id, instance that made the event)
         self.began_as = None  # id of the attempt that brought the first event
         self.resumptions = 0
@@ -320,7 +321,9 @@
         headers = {}
         if self.events:
             self.resumptions += 1
-            headers = {"Last-Event-Id": str(self.events[-1][0]), "Resumes": self.began_as}
+            headers = {"Last-Event-Id": str(self.events[-1][0])}
+            if self.names_stream:
+                headers["Resumes"] = self.began_as
         before = len(self.events)
         connection = vm.connection()
         try:
@@ -355,11 +358,14 @@
 
     attempts = 8
     pause_s = 0.1
+    loads = itertools.count()
 
-    def __init__(self, fleet, rate):
+    def __init__(self, fleet, rate, all_name_streams=True):
         self._fleet = fleet
         self._interval = 1 / rate
+        self._all_name_streams = all_name_streams  # else every second caller
         self._stop = threading.Event()
+        self._prefix = f"resumed-{next(self.loads)}"
         self._streams = []
         self._threads = []
         self._sender = threading.Thread(target=self._send, daemon=True)
@@ -375,7 +381,7 @@
         for number in itertools.count():
             if self._stop.is_set():
                 return
-            stream = ResumedStream(f"resumed-{number}")
+            stream = ResumedStream(f"{self._prefix}-{number}", self._all_name_streams or number % 2 == 0)
             self._streams.append(stream)
             self._threads.append(threading.Thread(target=self._run, args=(stream, number), daemon=True))
             self._threads[-1].start()
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -23,7 +23,7 @@
         self.fragile = FragileTargets(fleet)
 
     # start platform | start service NAME COUNT OPTIONS... | start fragile-service NAME COUNT WAY,... | start gateways COUNT
-    # start load ROUTE RATE | start resumed-load RATE | start crash-load ROUTE RATE
+    # start load ROUTE RATE | start resumed-load RATE [half-unnamed] | start crash-load ROUTE RATE
     # start gateways-behind-relays COUNT | start cut-load ROUTE,... RATE
     def verb_start(self, what, *words):
         if what == "platform":
@@ -44,7 +44,7 @@
         elif what == "load":
             self.load = RoutedLoad(self.fleet, words[0], float(words[1]))
         elif what == "resumed-load":
-            self.load = ResumedLoad(self.fleet, float(words[0]))
+            self.load = ResumedLoad(self.fleet, float(words[0]), all_name_streams="half-unnamed" not in words)
         else:
             raise AssertionError(f"cannot start {what}")
 
