Count the whole patience of a caller as the age of its stream

Cause: the age was worked out from the time that the caller still waits. A caller that waits for 40 s in all and resumes with 25 s left was taken to have begun just now, so that a version that had been alone for 5 s was trusted.

Change: the age is the longest patience, whatever is left. Test: streamOfAPatientCallerIsNotTakenForAYoungOne (age 0 before, by reading).

--- a/src/libs/gateway/relayrequest.h
+++ b/src/libs/gateway/relayrequest.h
@@ -53,12 +53,12 @@
     {
         return route->kind == RouteKind::Stream && route->isResumable && resumeAfter && !resumeAfter->empty() && *resumeAfter != "0";
     }
-    /** How long ago the resumed stream began at the most: before that, its caller would not be waiting any more. */
+    /** How long ago the resumed stream began at the most. How long its caller has waited before is not known, only how long it still will.
+     */
     Duration maxStreamAge() const
     {
         constexpr std::chrono::seconds LONGEST_PATIENCE { 15 }; // of callers whose route states no longer timeout
-        const Duration left = deadline - arrivedAt;
-        return std::max<Duration>({ route->timeout, LONGEST_PATIENCE, left }) - left;
+        return std::max<Duration>({ route->timeout, LONGEST_PATIENCE, deadline - arrivedAt });
     }
     int rank() const
     {
--- a/tests/auto/gateway/tst_versionhistory.cpp
+++ b/tests/auto/gateway/tst_versionhistory.cpp
@@ -118,6 +118,14 @@
     BOOST_TEST(mixed == 0);
 }
 
+// The age must not follow from the time that is left: patient callers have more of it after the same wait.
+BOOST_AUTO_TEST_CASE(streamOfAPatientCallerIsNotTakenForAYoungOne)
+{
+    const Route stream = route(RouteKind::Stream, 2);
+    const RelayRequest request = resumption(stream, seconds(40), START, START + seconds(15));
+    BOOST_TEST((request.maxStreamAge() >= seconds(15)));
+}
+
 BOOST_AUTO_TEST_CASE(streamsGoOnWhereOneVersionHasServedForLongerThanTheyLast)
 {
     Catalogue catalogue;
