--- a/src/libs/gateway/relayrequest.h
+++ b/src/libs/gateway/relayrequest.h
@@ -3,6 +3,7 @@
 #include "routetable.h"
 #include "streamdirectory.h"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 
@@ -52,6 +53,13 @@
     {
         return route->kind == RouteKind::Stream && route->isResumable && resumeAfter && !resumeAfter->empty() && *resumeAfter != "0";
     }
+    /** How long ago the resumed stream began at the most. How long its caller has waited before is not known, only how long it still will.
+     */
+    Duration maxStreamAge() const
+    {
+        constexpr std::chrono::seconds LONGEST_PATIENCE { 15 }; // of callers whose route states no longer timeout
+        return std::max<Duration>({ route->timeout, LONGEST_PATIENCE, deadline - arrivedAt });
+    }
     int rank() const
     {
         return organisation && organisation->rank ? *organisation->rank : route->rank;
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -202,7 +202,8 @@
             "listen": {"front": vm.endpoint(vm.caller_port), "ready": vm.endpoint(vm.ready_port), "control": vm.endpoint(vm.peer_port)},
             "platform": {"address": f"127.0.0.1:{store_port}"}, "seeds": seeds,
             "limits": {"cpuShare": 0.25},
-            "bounds": {"graceS": shutdown_s, "retryBudgetRatio": 0.2, "budgetExtra": 50, "budgetWindowS": 10, "coldOver": 1.5, "coldSlack": 5}}))
+            "bounds": {"graceS": shutdown_s, "retryBudgetRatio": 0.2, "budgetExtra": 50, "budgetWindowS": 10, "coldOver": 1.5, "coldSlack": 5,
+                       "drainMs": 2000, "configApplyMs": 2000}}))
         return path
 
     def is_ready(self, vm):
@@ -306,8 +307,9 @@
 class ResumedStream:
     """One stream of a caller that takes it up again at another daemon after it was broken off."""
 
-    def __init__(self, request_id):
+    def __init__(self, request_id, names_stream=True):
         self.request_id = request_id
+        self.names_stream = names_stream  # tells, when it resumes, which request began the stream
         self.events = []  # (id, instance that made the event)
         self.began_as = None  # id of the attempt that brought the first event
         self.resumptions = 0
@@ -319,7 +321,9 @@
         headers = {}
         if self.events:
             self.resumptions += 1
-            headers = {"Last-Event-Id": str(self.events[-1][0]), "Resumes": self.began_as}
+            headers = {"Last-Event-Id": str(self.events[-1][0])}
+            if self.names_stream:
+                headers["Resumes"] = self.began_as
         before = len(self.events)
         connection = vm.connection()
         try:
@@ -354,11 +358,14 @@
 
     attempts = 8
     pause_s = 0.1
+    loads = itertools.count()
 
-    def __init__(self, fleet, rate):
+    def __init__(self, fleet, rate, all_name_streams=True):
         self._fleet = fleet
         self._interval = 1 / rate
+        self._all_name_streams = all_name_streams  # else every second caller
         self._stop = threading.Event()
+        self._prefix = f"resumed-{next(self.loads)}"
         self._streams = []
         self._threads = []
         self._sender = threading.Thread(target=self._send, daemon=True)
@@ -374,7 +381,7 @@
         for number in itertools.count():
             if self._stop.is_set():
                 return
-            stream = ResumedStream(f"resumed-{number}")
+            stream = ResumedStream(f"{self._prefix}-{number}", self._all_name_streams or number % 2 == 0)
             self._streams.append(stream)
             self._threads.append(threading.Thread(target=self._run, args=(stream, number), daemon=True))
             self._threads[-1].start()
