Keep connections to the targets of stages in large fleets

Cause: idle connections to a target were shared by all daemons.

Change: targets of a stage service are shared by its owners only, at most twelve at a time while the fleet is split or owners change.

Test: ownersOfStagesKeepConnectionsInALargeFleet, failed before at 295 and 380.

--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds RATE_LIMIT_RETRY { 1000 }; // targets in need are few at a time; others have capacity again by then
 constexpr std::size_t MAX_IDLE_CONNECTIONS = 4;                // more are rarely reused before they expire
 constexpr double IDLE_CONNECTION_SHARE = 0.5;              // the rest is for connections in use; a target with a long queue accepts fewer
+constexpr int MAX_STAGE_OWNERS = 12;                       // that use a stage service at a time, while the fleet is split or owners change
 constexpr std::chrono::milliseconds NO_ROOM_RETRY { 250 }; // a slot of a full target is usually free again by then
 constexpr std::chrono::seconds MAX_REFUSAL_BACKOFF { 10 }; // targets are brittle for seconds
 constexpr double REFUSAL_BACKOFF_FACTOR = 2;               // half of the refusals that a target bears
@@ -287,14 +288,16 @@
     return m_targets.size();
 }
 
-// All daemons together keep at most a fixed share of the connections that a target accepts, however many daemons there are.
+// All daemons together keep at most a fixed share of the connections that a target accepts, however many daemons there are. Targets of a
+// stage service are called by the owner of the service only.
 std::size_t TargetRegistry::maxIdleConnections(const ServiceName &service) const
 {
     const auto found = m_services.find(service);
     if (found == m_services.end() || !found->second.maxConnections) {
         return MAX_IDLE_CONNECTIONS;
     }
-    const double share = IDLE_CONNECTION_SHARE * std::max(0, *found->second.maxConnections) / m_vmCount;
+    const int users = found->second.pieces ? std::min(m_vmCount, MAX_STAGE_OWNERS) : m_vmCount;
+    const double share = IDLE_CONNECTION_SHARE * std::max(0, *found->second.maxConnections) / users;
     return std::min(MAX_IDLE_CONNECTIONS, static_cast<std::size_t>(share));
 }
 
--- a/tests/auto/gateway/tst_targetregistry.cpp
+++ b/tests/auto/gateway/tst_targetregistry.cpp
@@ -155,6 +155,21 @@
     BOOST_TEST(targets.maxIdleConnections(service.name) > 0U);
 }
 
+// Regression: with 295 daemons, owners of stage services opened a connection for each call of a piece and for each freed result.
+BOOST_AUTO_TEST_CASE(ownersOfStagesKeepConnectionsInALargeFleet)
+{
+    Service service = stageService("stage");
+    service.maxConnections = 540;
+    for (const int vms : { 7, 63, 295, 380 }) {
+        TargetRegistry targets({}, {}, 1);
+        targets.setServices({ service });
+        targets.setVmCount(vms);
+        const std::size_t idle = targets.maxIdleConnections(service.name);
+        BOOST_TEST(idle > 0U);
+        BOOST_TEST(idle * 12 * 2 <= 540U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(sharesBelowOneRequestPerSecondArePaced)
 {
     Service service;
