--- a/tests/auto/platform/tst_storewatcher.cpp
+++ b/tests/auto/platform/tst_storewatcher.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds CHANGE_TIME { 2000 };
+
 std::string targetBody()
 {
     return R"({"service":"s","address":"127.0.0.1:1","zone":"a","slots":1,"state":"ready","born":1,"seq":1})";
@@ -29,6 +31,7 @@
                     m_client,
                     m_port,
                     { "127.0.0.1", m_server.http().port() },
+                    CHANGE_TIME,
                     m_catalogue,
                     m_log,
                     [this](const Gateway::CatalogueChanges &changes) { onChanges(changes); })
