--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -96,7 +96,7 @@
     addTraceLine("stream resumed",
                  "stream=" + (request.resumedStream ? request.resumedStream->value() : "unknown") + " after=" + *request.resumeAfter);
     ResumedStream resumed { request.resumedStream, request.id, std::nullopt, request.maxStreamAge() };
-    // Of a route to several services, the service is chosen by the id of the request, which is not that of the first one.
+    // A route to several services chooses one by the request id, and a resumption has another id than the request that began the stream.
     if (request.route->services.size() == 1) {
         resumed.service = request.service;
     }
--- a/tests/auto/gateway/tst_versionhistory.cpp
+++ b/tests/auto/gateway/tst_versionhistory.cpp
@@ -26,7 +26,7 @@
     return TargetPublished { engine(id, version) };
 }
 
-// A resumption that reaches a daemon 0.3 s after all daemons were killed.
+// A caller that has waited since begunAt, and waits for so long in all, resumes now.
 RelayRequest resumption(const Route &route, Duration patience, MonotonicTime begunAt, MonotonicTime now)
 {
     RelayRequest request;
