--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -192,6 +192,14 @@
         return len(cut)
 
     async def answer(self, request, reader, writer):
+        answer = await self.reply(request, writer)
+        if answer is None:
+            return False
+        writer.write(answer)
+        return True
+
+    async def reply(self, request, writer):
+        """The answer to a call; None if its connection was cut."""
         path, _, query = request.target.partition("?")
         arguments = dict(part.partition("=")[::2] for part in query.split("&") if part)
         await asyncio.sleep(0.004)
@@ -201,12 +209,10 @@
         elif path == "/api/kv-watch":
             document = await self.watch(int(arguments["after"]), int(arguments["waitMs"]) / 1000, writer)
             if document is None:
-                return False
+                return None
         else:
-            writer.write(response(404, {"Store-Era": 1}))
-            return True
-        writer.write(response(200, {"Content-Type": "application/json", "Store-Era": 1}, json.dumps(document).encode()))
-        return True
+            return response(404, {"Store-Era": 1})
+        return response(200, {"Content-Type": "application/json", "Store-Era": 1}, json.dumps(document).encode())
 
     async def watch(self, after, wait_s, writer):
         end = time.monotonic() + wait_s
@@ -228,6 +234,24 @@
             self.waiting.discard(writer)
 
 
+class Door(Server):
+    """An address of the store for one daemon; while it is silent, nothing that was or is asked there is answered."""
+
+    def __init__(self, store, address):
+        super().__init__(address)
+        self.store = store
+        self.silent = False
+
+    async def answer(self, request, reader, writer):
+        answer = await self.store.reply(request, writer)
+        if self.silent:
+            await asyncio.sleep(3600)
+        if answer is None:
+            return False
+        writer.write(answer)
+        return True
+
+
 class Runner(Server):
     """A runner of one service; answers plain requests after its work, and streams on stream routes."""
 
@@ -394,6 +418,7 @@
         self.runner_address = f"{self.network}.200"
         self.store = Store(f"{self.network}.201")
         self.daemons = []
+        self.doors = {}  # addresses of the store for one daemon each, by the daemon's name
         self.runners = []
         self.runs = []  # (time, runner, request)
         self.calls = []  # (time, runner, items)
@@ -427,7 +452,7 @@
         path.write_text(render((ROOT / "platform/settings.template").read_text(), {
             "node": daemon.name, "region": REGION, "zone": daemon.zone, "zones": {zone: REGION for zone in ZONES},
             "listen": {"front": daemon.at(Daemon.FRONT), "ready": daemon.at(Daemon.READY), "control": daemon.at(Daemon.CONTROL)},
-            "platform": {"address": self.store.endpoint}, "seeds": seeds, "limits": {"cpuShare": 0.25}, "bounds": BOUNDS}))
+            "platform": {"address": self.doors.get(daemon.name, self.store).endpoint}, "seeds": seeds, "limits": {"cpuShare": 0.25}, "bounds": BOUNDS}))
         log = (pathlib.Path(self.work.name) / f"{daemon.name}.log").open("ab")
         return self._spawn(daemon, path, log)
 
@@ -435,10 +460,13 @@
         daemon.process = await asyncio.create_subprocess_exec(str(DAEMON), "--gateway", "--settings", str(path), stdout=log, stderr=log,
                                                               cwd=ROOT, env={"PATH": os.environ.get("PATH", ""), "HOME": "/tmp"})
 
-    async def start_daemons(self, count):
+    async def start_daemons(self, count, doors=False):
         for number in range(count):
             self.daemons.append(Daemon(f"front-{number + 1}", ZONES[number % len(ZONES)], f"{self.network}.{number + 1}"))
         for daemon in self.daemons:
+            if doors:
+                self.doors[daemon.name] = Door(self.store, self.store.address)
+                await self.doors[daemon.name].start()
             await self.start_daemon(daemon)
         for daemon in self.daemons:
             await self.wait_ready(daemon)
