--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,6 @@
-"""A stream goes on at another software version, at a daemon that has not heard yet that there is one."""
+"""A stream that was handed over to another daemon goes on at another software version after that daemon was killed."""
 
 import asyncio
-import os
 import random
 import re
 import sys
@@ -12,24 +11,20 @@
 import bed as beds  # noqa: E402
 from bed import TROUBLE, ZONES  # noqa: E402
 
-CRASH_ONLY = os.environ.get("TROUBLE") == "crash"  # a control: the store answers all daemons
-DAEMONS = 6
-TURNED_AWAY = 2  # of 6, share 0.33
-RUNNERS = 4
-PER_SECOND = 50
-DEADLINE_MS = 6000
-CYCLES = 3
-ALONE_S = 21  # for which the old version has been the only one
-SILENT_S = 9
-NEW_AFTER_S = 0.05
-CRASH_AFTER_S = 0.55
+PER_SECOND = 30
+DEADLINE_MS = 15000
+CYCLES = 2
+CALM_S = 10
+CUT_S = 9.5
+KILL_AFTER_S = 1.5  # the partition has ended
+DOWN_S = 1
 
 
 class VersionedRunner(beds.StreamRunner):
     """Writes its software version into each event."""
 
-    EVENTS = 40
-    GAP_S = 0.05
+    EVENTS = 60
+    GAP_S = 0.1
 
     async def run(self, request, reader, writer):
         self.note_run(request)
@@ -44,101 +39,74 @@
         return True
 
 
-class Stream:
-    """One stream of a client, which takes it up once at another daemon after it was broken off."""
-
-    def __init__(self, bed):
-        self.bed = bed
-        self.events = []  # (id, version)
-        self.tries = []
-        self.began_as = None
-
-    async def play(self):
-        end = time.monotonic() + DEADLINE_MS / 1000
-        daemons = random.sample(self.bed.daemons, 2)
-        headers = {"X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": "100,40",
-                   "X-Cassiarelay-Prompt-Prefix": f"{random.getrandbits(32):08x}:80,{random.getrandbits(32):08x}:20"}
-        for daemon in daemons:
-            more = {"Last-Event-Id": self.events[-1][0], "Resumes": self.began_as} if self.events else {}
-            answer = await self.bed.send(daemon, "/ask/x", max(1, int((end - time.monotonic()) * 1000)), {**headers, **more})
-            found = [(int(number), version) for number, version in re.findall(r"id: (\d+)\ndata: (\S+) ", answer.body.decode())]
-            if answer.status == 200 and found and not self.began_as:
-                self.began_as = answer.request_id
-            self.events += found if answer.status == 200 else []
-            self.tries.append(f"{answer.request_id} at {daemon.name}: {answer.status}, {len(found)} events"
-                              f"{' of ' + found[0][1] if found else ''}, {answer.end}")
-            if answer.end == "whole" and answer.status == 200:
-                return
-
-    @property
-    def versions(self):
-        return {version for _, version in self.events}
-
-
 async def script(bed):
     bed.services = [{"name": "model", "maxConns": 500, "coldStartS": 0.0, "coldPerS": 0.0}]
     bed.routes = [{"name": "ask", "prefix": "/ask/", "service": "model", "kind": "stream", "timeoutMs": DEADLINE_MS,
                    "targetLatencyMs": 2000, "priority": 0, "maxAttempts": 2, "resumable": True, "sticky": True, "gapAimMs": 300}]
     await bed.publish_configuration()
-    for number in range(RUNNERS):
-        await bed.add_runner(VersionedRunner(bed, "model", ZONES[number % 3], version="v1"))
-    await bed.start_daemons(DAEMONS, doors=True)
-    release = asyncio.create_task(releases(bed))
-    streams, tasks = [], []
-    while not release.done():
-        streams.append(Stream(bed))
-        tasks.append(asyncio.create_task(streams[-1].play()))
+    for number in range(4):
+        await bed.add_runner(VersionedRunner(bed, "model", ZONES[number % 3], version=f"v{1 + number % 2}"))
+    await bed.start_daemons(3, links=True)
+    troubles = asyncio.create_task(partitions(bed))
+    tasks = []
+    while not troubles.done():
+        headers = {"X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": "100,60",
+                   "X-Cassiarelay-Prompt-Prefix": f"{random.getrandbits(32):08x}:80,{random.getrandbits(32):08x}:20"}
+        running = [daemon for daemon in bed.daemons if daemon.process.returncode is None]
+        tasks.append(asyncio.create_task(send(bed, random.choice(running), headers)))
         await asyncio.sleep(random.expovariate(PER_SECOND))
-    await release
-    await asyncio.gather(*tasks)
+    await troubles
+    answers = await asyncio.gather(*tasks)
     if not bed.check_running():
         raise beds.CannotRun("a daemon ended")
-    return judge(bed, streams)
+    return judge(bed, answers)
+
+
+async def send(bed, daemon, headers):
+    answer = await bed.send(daemon, "/ask/x", DEADLINE_MS, headers)
+    answer.daemon = daemon
+    return answer
 
 
-async def releases(bed):
-    """The first runner of a new version starts, and crashes a moment later."""
+async def partitions(bed):
+    """One daemon is partitioned from all runners for seconds; when it reaches them again, another daemon is killed."""
     for cycle in range(CYCLES):
-        await asyncio.sleep(ALONE_S)
-        turned_away = random.sample(bed.daemons, TURNED_AWAY)
-        if TROUBLE and not CRASH_ONLY:
-            for daemon in turned_away:
-                bed.doors[daemon.name].silent = True
-            bed.record(f"the store is silent for {', '.join(daemon.name for daemon in turned_away)}")
-        await asyncio.sleep(NEW_AFTER_S)
-        new = await bed.add_runner(VersionedRunner(bed, "model", ZONES[cycle % 3], version=f"v{cycle + 2}"))
-        bed.record(f"{new.id} of {new.version} starts")
-        await asyncio.sleep(CRASH_AFTER_S)
+        await asyncio.sleep(CALM_S)
+        near, other = bed.daemons[cycle], bed.daemons[(cycle + 1) % 3]
+        if TROUBLE:
+            bed.links[near.name].cut()
+            bed.record(f"{near.name} is partitioned from all runners")
+        await asyncio.sleep(CUT_S)
+        if TROUBLE:
+            await bed.links[near.name].mend()
+            bed.record(f"{near.name} reaches the runners again")
+        await asyncio.sleep(KILL_AFTER_S)
         if TROUBLE:
-            bed.record(f"{new.id} crashes, {new.running} streams run there")
-            await new.stop()
-        else:
-            bed.record(f"{new.id} drains")
-            new.state = "draining"
-            await bed.store.put(new.key, new.document())
-        await asyncio.sleep(3.6)  # three heartbeat intervals
-        await bed.store.remove(new.key)
-        await asyncio.sleep(max(0, SILENT_S - 3.6 - CRASH_AFTER_S - NEW_AFTER_S))
-        if not TROUBLE:
-            await new.stop()
-        bed.runners.remove(new)
-        for daemon in turned_away:
-            bed.doors[daemon.name].silent = False
+            bed.record(f"{other.name} is killed")
+            other.process.kill()
+            await other.process.wait()
+            await asyncio.sleep(DOWN_S)
+            await bed.start_daemon(other)
     await asyncio.sleep(1)
 
 
-def judge(bed, streams):
-    """ORDER: more than two streams hold events from runners of two software versions."""
-    joined = [stream for stream in streams if len(stream.versions) > 1]
-    for stream in joined:
-        bed.record(f"ORDER: one stream of {' and '.join(sorted(stream.versions))}: {'; '.join(stream.tries)}")
-    whole = sum(len(stream.events) >= VersionedRunner.EVENTS for stream in streams)
-    again = [stream for stream in streams if len(stream.tries) > 1]
-    bed.record(f"streams {len(streams)}, whole {whole}, taken up again {len(again)}")
-    bed.record(f"streams that hold events from runners of two software versions: {len(joined)}")
-    if whole < len(streams) / 2:
+def judge(bed, answers):
+    """ORDER: more than two streams hold events from runners of two software versions, here in one answer."""
+    joined = 0
+    for answer in answers:
+        events = re.findall(r"id: (\d+)\ndata: (\S+) (\S+)", answer.body.decode()) if answer.status == 200 else []
+        if len({version for _, version, _ in events}) < 2:
+            continue
+        joined += 1
+        begins = [events[0]] + [event for before, event in zip(events, events[1:]) if event[2] != before[2]]
+        bed.record(f"ORDER: {answer.request_id} at {answer.daemon.name}, one answer with status 200, {answer.end}: "
+                   + ", then ".join(f"from event {number} on by {runner} of {version}" for number, version, runner in begins))
+    whole = sum(answer.status == 200 and answer.end == "whole" for answer in answers)
+    bed.record(f"streams {len(answers)}, whole {whole}")
+    bed.record(f"answers that hold events from runners of two software versions: {joined}")
+    if whole < len(answers) / 2:
         raise beds.CannotRun("fewer than half of the streams were served")
-    return len(joined) > 2
+    return joined > 2
 
 
 beds.play(__file__.rsplit("/", 1)[0], script)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,9 @@
-"""After the store has cut a waiting watch, runners that leave keep getting requests for longer than drainMs."""
+"""A stream goes on at another software version, at a daemon that has not heard yet that there is one."""
 
 import asyncio
+import os
 import random
+import re
 import sys
 import time
 
@@ -10,73 +12,133 @@
 import bed as beds  # noqa: E402
 from bed import TROUBLE, ZONES  # noqa: E402
 
-PER_SECOND = 60
-RUNNERS = 3
-LEAVERS = 8
-FIRST_S, BETWEEN_S = 5, 8
-DRAIN_S = beds.BOUNDS["drainMs"] / 1000
-SERVES_ON_S = DRAIN_S + 2  # after its entry was removed; then it exits
+CRASH_ONLY = os.environ.get("TROUBLE") == "crash"  # a control: the store answers all daemons
+DAEMONS = 6
+TURNED_AWAY = 2  # of 6, share 0.33
+RUNNERS = 4
+PER_SECOND = 50
+DEADLINE_MS = 6000
+CYCLES = 3
+ALONE_S = 21  # for which the old version has been the only one
+SILENT_S = 9
+NEW_AFTER_S = 0.05
+CRASH_AFTER_S = 0.55
+
+
+class VersionedRunner(beds.StreamRunner):
+    """Writes its software version into each event."""
+
+    EVENTS = 40
+    GAP_S = 0.05
+
+    async def run(self, request, reader, writer):
+        self.note_run(request)
+        writer.write(beds.response(200, {**self.headers(request), **self.stamp(request), "Content-Type": "text/event-stream",
+                                         "Transfer-Encoding": "chunked"}, length=False))
+        for number in range(int(request.headers.get("last-event-id", 0)) + 1, self.EVENTS + 1):
+            event = f"id: {number}\ndata: {self.version} {self.id}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.GAP_S)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class Stream:
+    """One stream of a client, which takes it up once at another daemon after it was broken off."""
+
+    def __init__(self, bed):
+        self.bed = bed
+        self.events = []  # (id, version)
+        self.tries = []
+        self.began_as = None
+
+    async def play(self):
+        end = time.monotonic() + DEADLINE_MS / 1000
+        daemons = random.sample(self.bed.daemons, 2)
+        headers = {"X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": "100,40",
+                   "X-Cassiarelay-Prompt-Prefix": f"{random.getrandbits(32):08x}:80,{random.getrandbits(32):08x}:20"}
+        for daemon in daemons:
+            more = {"Last-Event-Id": self.events[-1][0], "Resumes": self.began_as} if self.events else {}
+            answer = await self.bed.send(daemon, "/ask/x", max(1, int((end - time.monotonic()) * 1000)), {**headers, **more})
+            found = [(int(number), version) for number, version in re.findall(r"id: (\d+)\ndata: (\S+) ", answer.body.decode())]
+            if answer.status == 200 and found and not self.began_as:
+                self.began_as = answer.request_id
+            self.events += found if answer.status == 200 else []
+            self.tries.append(f"{answer.request_id} at {daemon.name}: {answer.status}, {len(found)} events"
+                              f"{' of ' + found[0][1] if found else ''}, {answer.end}")
+            if answer.end == "whole" and answer.status == 200:
+                return
+
+    @property
+    def versions(self):
+        return {version for _, version in self.events}
 
 
 async def script(bed):
-    bed.services = [{"name": "desk", "maxConns": 100, "coldPerS": 0.0}]
-    bed.routes = [{"name": "look", "prefix": "/look/", "service": "desk", "kind": "safe", "timeoutMs": 2500, "targetLatencyMs": 300,
-                   "priority": 1, "maxAttempts": 2},
-                  {"name": "book", "prefix": "/book/", "service": "desk", "kind": "unsafe", "timeoutMs": 2500, "targetLatencyMs": 300,
-                   "priority": 0, "maxAttempts": 2}]
+    bed.services = [{"name": "model", "maxConns": 500, "coldStartS": 0.0, "coldPerS": 0.0}]
+    bed.routes = [{"name": "ask", "prefix": "/ask/", "service": "model", "kind": "stream", "timeoutMs": DEADLINE_MS,
+                   "targetLatencyMs": 2000, "priority": 0, "maxAttempts": 2, "resumable": True, "sticky": True, "gapAimMs": 300}]
     await bed.publish_configuration()
-    runners = [await bed.add_runner(beds.Runner(bed, "desk", ZONES[number % 3])) for number in range(RUNNERS)]
-    await bed.start_daemons(3)
-    left_at = {}
-    release = asyncio.create_task(replace(bed, runners, left_at))
-    tasks = []
+    for number in range(RUNNERS):
+        await bed.add_runner(VersionedRunner(bed, "model", ZONES[number % 3], version="v1"))
+    await bed.start_daemons(DAEMONS, doors=True)
+    release = asyncio.create_task(releases(bed))
+    streams, tasks = [], []
     while not release.done():
-        path = random.choice(("/look/x", "/book/x"))
-        tasks.append(asyncio.create_task(bed.send(random.choice(bed.daemons), path, 2500)))
+        streams.append(Stream(bed))
+        tasks.append(asyncio.create_task(streams[-1].play()))
         await asyncio.sleep(random.expovariate(PER_SECOND))
     await release
-    answers = await asyncio.gather(*tasks)
+    await asyncio.gather(*tasks)
     if not bed.check_running():
         raise beds.CannotRun("a daemon ended")
-    served = sum(answer.status == 200 and answer.end == "whole" for answer in answers)
-    bed.record(f"sent {len(answers)}, answered 200 and whole {served}")
-    if served < len(answers) / 2:
-        raise beds.CannotRun("fewer than half of the requests were served")
-    return judge(bed, answers, left_at)
-
-
-async def replace(bed, runners, left_at):
-    """A release: the new runner starts first; the old one never reports draining, its entry is removed and it serves on."""
-    await asyncio.sleep(FIRST_S)
-    for number in range(LEAVERS):
-        runners.append(await bed.add_runner(beds.Runner(bed, "desk", ZONES[number % 3])))
-        await asyncio.sleep(3)
-        before = random.uniform(0.05, 1.0)
+    return judge(bed, streams)
+
+
+async def releases(bed):
+    """The first runner of a new version starts, and crashes a moment later."""
+    for cycle in range(CYCLES):
+        await asyncio.sleep(ALONE_S)
+        turned_away = random.sample(bed.daemons, TURNED_AWAY)
+        if TROUBLE and not CRASH_ONLY:
+            for daemon in turned_away:
+                bed.doors[daemon.name].silent = True
+            bed.record(f"the store is silent for {', '.join(daemon.name for daemon in turned_away)}")
+        await asyncio.sleep(NEW_AFTER_S)
+        new = await bed.add_runner(VersionedRunner(bed, "model", ZONES[cycle % 3], version=f"v{cycle + 2}"))
+        bed.record(f"{new.id} of {new.version} starts")
+        await asyncio.sleep(CRASH_AFTER_S)
         if TROUBLE:
-            bed.record(f"store cuts {bed.store.cut_watches()} waiting watches")
-        await asyncio.sleep(before)
-        leaver = runners.pop(0)
-        await bed.store.remove(leaver.key)
-        left_at[leaver] = time.monotonic()
-        bed.record(f"the entry of {leaver.id} is removed, {before:.2f} s later")
-        await asyncio.sleep(SERVES_ON_S)
-        await leaver.stop()
-        await asyncio.sleep(BETWEEN_S - 3 - SERVES_ON_S)
+            bed.record(f"{new.id} crashes, {new.running} streams run there")
+            await new.stop()
+        else:
+            bed.record(f"{new.id} drains")
+            new.state = "draining"
+            await bed.store.put(new.key, new.document())
+        await asyncio.sleep(3.6)  # three heartbeat intervals
+        await bed.store.remove(new.key)
+        await asyncio.sleep(max(0, SILENT_S - 3.6 - CRASH_AFTER_S - NEW_AFTER_S))
+        if not TROUBLE:
+            await new.stop()
+        bed.runners.remove(new)
+        for daemon in turned_away:
+            bed.doors[daemon.name].silent = False
     await asyncio.sleep(1)
 
 
-def judge(bed, answers, left_at):
-    """DRAIN: a request reaches a runner later than drainMs after the store acknowledged that it is gone."""
-    sent_at = {answer.request_id: answer.sent_at for answer in answers}
-    late = 0
-    for at, runner, request in bed.runs:
-        request_id = request.headers["x-cassiarelay-request-id"]
-        if runner in left_at and at > left_at[runner] + DRAIN_S:
-            late += 1
-            bed.record(f"DRAIN: {request_id}, sent by its client {sent_at[request_id] - left_at[runner]:.3f} s after the removal, "
-                       f"reached {runner.id} {at - left_at[runner]:.3f} s after it")
-    bed.record(f"requests that reached a runner later than {DRAIN_S:g} s after its entry was removed: {late}")
-    return late > 0
+def judge(bed, streams):
+    """ORDER: more than two streams hold events from runners of two software versions."""
+    joined = [stream for stream in streams if len(stream.versions) > 1]
+    for stream in joined:
+        bed.record(f"ORDER: one stream of {' and '.join(sorted(stream.versions))}: {'; '.join(stream.tries)}")
+    whole = sum(len(stream.events) >= VersionedRunner.EVENTS for stream in streams)
+    again = [stream for stream in streams if len(stream.tries) > 1]
+    bed.record(f"streams {len(streams)}, whole {whole}, taken up again {len(again)}")
+    bed.record(f"streams that hold events from runners of two software versions: {len(joined)}")
+    if whole < len(streams) / 2:
+        raise beds.CannotRun("fewer than half of the streams were served")
+    return len(joined) > 2
 
 
 beds.play(__file__.rsplit("/", 1)[0], script)
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -198,18 +198,19 @@
         writer.write(answer)
         return True
 
-    async def reply(self, request, writer):
-        """The answer to a call; None if its connection was cut."""
+    async def reply(self, request, writer, shown=lambda item: item):
+        """The answer to a call, with its items as shown; None if its connection was cut."""
         path, _, query = request.target.partition("?")
         arguments = dict(part.partition("=")[::2] for part in query.split("&") if part)
         await asyncio.sleep(0.004)
         if path == "/api/kv-range":
             keys = sorted(key for key in self.items if key.startswith(arguments.get("prefix", "")) and key > arguments.get("after", ""))
-            document = {"items": [self.items[key] for key in keys[:500]], "truncated": len(keys) > 500, "currentRev": self.revision}
+            document = {"items": [shown(self.items[key]) for key in keys[:500]], "truncated": len(keys) > 500, "currentRev": self.revision}
         elif path == "/api/kv-watch":
             document = await self.watch(int(arguments["after"]), int(arguments["waitMs"]) / 1000, writer)
             if document is None:
                 return None
+            document["events"] = [shown(event) for event in document["events"]]
         else:
             return response(404, {"Store-Era": 1})
         return response(200, {"Content-Type": "application/json", "Store-Era": 1}, json.dumps(document).encode())
@@ -235,15 +236,26 @@
 
 
 class Door(Server):
-    """An address of the store for one daemon; while it is silent, nothing that was or is asked there is answered."""
+    """An address of the store for one daemon; while it is silent, nothing that was or is asked there is answered.
 
-    def __init__(self, store, address):
+    With links, it shows the daemon its own way to each runner.
+    """
+
+    def __init__(self, store, address, links=None):
         super().__init__(address)
         self.store = store
+        self.links = links
         self.silent = False
 
+    def shown(self, item):
+        if not self.links or not item["key"].startswith("servers/") or "value" not in item:
+            return item
+        document = json.loads(base64.b64decode(item["value"]))
+        document["address"] = f"{self.links.address}:{document['address'].partition(':')[2]}"
+        return dict(item, value=base64.b64encode(json.dumps(document).encode()).decode())
+
     async def answer(self, request, reader, writer):
-        answer = await self.store.reply(request, writer)
+        answer = await self.store.reply(request, writer, self.shown)
         if self.silent:
             await asyncio.sleep(3600)
         if answer is None:
@@ -252,10 +264,54 @@
         return True
 
 
+class Links:
+    """The ways of one daemon to all runners: TCP relays at an address of its own, with the ports of the runners."""
+
+    def __init__(self, address, runners):
+        self.address = address
+        self.runners = runners
+        self.servers = []
+        self.writers = set()
+
+    async def mend(self):
+        for runner in self.runners:
+            self.servers.append(await asyncio.start_server(lambda reader, writer, runner=runner: self._serve(reader, writer, runner),
+                                                           self.address, runner.port))
+
+    def cut(self):
+        """Resets all connections, and refuses new ones."""
+        for server in self.servers:
+            server.close()
+        self.servers = []
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer, runner):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(runner.address, runner.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        await asyncio.gather(self._pump(reader, far_writer), self._pump(far_reader, writer))
+        self.writers -= {writer, far_writer}
+
+    @staticmethod
+    async def _pump(reader, writer):
+        try:
+            while data := await reader.read(65536):
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except OSError:
+            writer.transport.abort()
+
+
 class Runner(Server):
     """A runner of one service; answers plain requests after its work, and streams on stream routes."""
 
     numbers = itertools.count(1)
+    WORK_S = 0.02
 
     def __init__(self, bed, service, zone, slots=64, version="1"):
         super().__init__(bed.runner_address)
@@ -308,7 +364,7 @@
 
     async def run(self, request, reader, writer):
         self.note_run(request)
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(self.WORK_S)
         writer.write(response(200, {**self.headers(request), **self.stamp(request)}, b"done " + request.headers["x-cassiarelay-request-id"].encode()))
         return True
 
@@ -419,6 +475,7 @@
         self.store = Store(f"{self.network}.201")
         self.daemons = []
         self.doors = {}  # addresses of the store for one daemon each, by the daemon's name
+        self.links = {}  # ways to the runners, by the daemon's name
         self.runners = []
         self.runs = []  # (time, runner, request)
         self.calls = []  # (time, runner, items)
@@ -460,12 +517,15 @@
         daemon.process = await asyncio.create_subprocess_exec(str(DAEMON), "--gateway", "--settings", str(path), stdout=log, stderr=log,
                                                               cwd=ROOT, env={"PATH": os.environ.get("PATH", ""), "HOME": "/tmp"})
 
-    async def start_daemons(self, count, doors=False):
+    async def start_daemons(self, count, doors=False, links=False):
         for number in range(count):
             self.daemons.append(Daemon(f"front-{number + 1}", ZONES[number % len(ZONES)], f"{self.network}.{number + 1}"))
         for daemon in self.daemons:
-            if doors:
-                self.doors[daemon.name] = Door(self.store, self.store.address)
+            if links:
+                self.links[daemon.name] = Links(f"{self.network}.{100 + self.daemons.index(daemon)}", self.runners)
+                await self.links[daemon.name].mend()
+            if doors or links:
+                self.doors[daemon.name] = Door(self.store, self.store.address, self.links.get(daemon.name))
                 await self.doors[daemon.name].start()
             await self.start_daemon(daemon)
         for daemon in self.daemons:
@@ -499,9 +559,10 @@
     def next_id(self):
         return f"{random.getrandbits(40):010x}{next(self.numbers):06x}"
 
-    async def send(self, daemon, path, deadline_ms, headers=None, body=b"{}", method="POST", request_id=None, on_data=None):
+    async def send(self, daemon, path, deadline_ms, headers=None, body=None, method="POST", request_id=None, on_data=None):
         """One client attempt on a new connection."""
         answer = Answer(request_id or self.next_id())
+        body = json.dumps({"prompt": f"{random.getrandbits(64):x}"}).encode() if body is None else body
         fields = {"Host": HOST, "X-Cassiarelay-Request-Id": answer.request_id, "X-Cassiarelay-Deadline-Ms": deadline_ms,
                   "Authorization": f"Bearer {KEY}", "Content-Length": len(body), **(headers or {})}
         answer.sent_at = time.monotonic()
