--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,8 +23,8 @@
 class VersionedRunner(beds.StreamRunner):
     """Writes its software version into each event."""
 
-    EVENTS = 60
-    GAP_S = 0.1
+    EVENTS = 24
+    GAP_S = 0.25
 
     async def run(self, request, reader, writer):
         self.note_run(request)
@@ -42,7 +42,7 @@
 async def script(bed):
     bed.services = [{"name": "model", "maxConns": 500, "coldStartS": 0.0, "coldPerS": 0.0}]
     bed.routes = [{"name": "ask", "prefix": "/ask/", "service": "model", "kind": "stream", "timeoutMs": DEADLINE_MS,
-                   "targetLatencyMs": 2000, "priority": 0, "maxAttempts": 2, "resumable": True, "sticky": True, "gapAimMs": 300}]
+                   "targetLatencyMs": 2000, "priority": 0, "maxAttempts": 2, "resumable": True, "gapAimMs": 300}]
     await bed.publish_configuration()
     for number in range(4):
         await bed.add_runner(VersionedRunner(bed, "model", ZONES[number % 3], version=f"v{1 + number % 2}"))
@@ -50,10 +50,8 @@
     troubles = asyncio.create_task(partitions(bed))
     tasks = []
     while not troubles.done():
-        headers = {"X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": "100,60",
-                   "X-Cassiarelay-Prompt-Prefix": f"{random.getrandbits(32):08x}:80,{random.getrandbits(32):08x}:20"}
         running = [daemon for daemon in bed.daemons if daemon.process.returncode is None]
-        tasks.append(asyncio.create_task(send(bed, random.choice(running), headers)))
+        tasks.append(asyncio.create_task(send(bed, random.choice(running))))
         await asyncio.sleep(random.expovariate(PER_SECOND))
     await troubles
     answers = await asyncio.gather(*tasks)
@@ -62,8 +60,8 @@
     return judge(bed, answers)
 
 
-async def send(bed, daemon, headers):
-    answer = await bed.send(daemon, "/ask/x", DEADLINE_MS, headers)
+async def send(bed, daemon):
+    answer = await bed.send(daemon, "/ask/x", DEADLINE_MS)
     answer.daemon = daemon
     return answer
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,7 +16,7 @@
 DAEMONS = 6
 TURNED_AWAY = 2  # of 6, share 0.33
 RUNNERS = 4
-PER_SECOND = 50
+PER_SECOND = 80
 DEADLINE_MS = 6000
 CYCLES = 3
 ALONE_S = 21  # for which the old version has been the only one
@@ -28,8 +28,8 @@
 class VersionedRunner(beds.StreamRunner):
     """Writes its software version into each event."""
 
-    EVENTS = 40
-    GAP_S = 0.05
+    EVENTS = 20
+    GAP_S = 0.1
 
     async def run(self, request, reader, writer):
         self.note_run(request)
@@ -56,7 +56,7 @@
     async def play(self):
         end = time.monotonic() + DEADLINE_MS / 1000
         daemons = random.sample(self.bed.daemons, 2)
-        headers = {"X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": "100,40",
+        headers = {"X-Cassiarelay-Model": "m", "X-Cassiarelay-Token-Counts": "100,20",
                    "X-Cassiarelay-Prompt-Prefix": f"{random.getrandbits(32):08x}:80,{random.getrandbits(32):08x}:20"}
         for daemon in daemons:
             more = {"Last-Event-Id": self.events[-1][0], "Resumes": self.began_as} if self.events else {}
