Bind streams that were handed over to the version that began them

Cause: only the daemon that sends a stream to a target knew the version. The one that forwarded the events was bound to none.

Change: the relaying daemon names the origin with the first event. RelayMachine holds back every attempt of a stream that may have begun at a version it does not know, and looks for the record first; so do streams that are resumed, and those whose daemon was lost before the first event. An older receiver names no origin; its record decides. An older sender is not sent the field.

--- a/src/app/gateway/handovermessages.cpp
+++ b/src/app/gateway/handovermessages.cpp
@@ -17,7 +17,8 @@
 void removeCellFields(std::vector<HttpField> &fields)
 {
     const auto isOfCell = [](const HttpField &field) {
-        return boost::beast::iequals(field.name, HANDOVER_FIELD) || boost::beast::iequals(field.name, LEAVING_TARGET_FIELD);
+        return boost::beast::iequals(field.name, HANDOVER_FIELD) || boost::beast::iequals(field.name, LEAVING_TARGET_FIELD)
+            || boost::beast::iequals(field.name, ORIGIN_FIELD);
     };
     fields.erase(std::remove_if(fields.begin(), fields.end(), isOfCell), fields.end());
 }
@@ -37,6 +38,7 @@
         message.tried.push_back(target.value());
     }
     message.resumeAfter = action.resumeAfter;
+    message.takesOrigin = true;
     if (action.handover.origin) {
         message.service = action.handover.origin->service.value();
         message.version = action.handover.origin->softwareVersion;
@@ -59,9 +61,28 @@
     if (message.service && message.version) {
         handover.origin = Gateway::StreamOrigin { Gateway::ServiceName(*message.service), *message.version };
     }
+    handover.takesOrigin = message.takesOrigin.value_or(false);
     return handover;
 }
 
+std::string originText(const Gateway::StreamOrigin &origin)
+{
+    Schema::RelayedStream message;
+    message.service = origin.service.value();
+    message.version = origin.softwareVersion;
+    return nlohmann::json(message).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<Gateway::StreamOrigin> readOrigin(const Net::HttpCallHead &head)
+{
+    const auto field = head.fields.find(ORIGIN_FIELD);
+    if (field == head.fields.end()) {
+        return std::nullopt;
+    }
+    const auto message = nlohmann::json::parse(std::string(field->value())).get<Schema::RelayedStream>();
+    return Gateway::StreamOrigin { Gateway::ServiceName(message.service), message.version };
+}
+
 Net::HttpResponse declineResponse(Gateway::DeclineReason reason)
 {
     Net::HttpResponse response;
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -78,48 +78,9 @@
             self->m_call->resume();
         }
     });
-    const Gateway::RelayRequest &request = m_machine.request();
-    const bool isBound = request.handover && request.handover->origin;
-    if (request.handover) {
+    if (m_machine.request().handover) {
         m_services.metrics.counter("cassiarelay_requests_received_from_peers_total").add();
     }
-    if (request.isResumption() && !isBound) {
-        startResumed();
-    } else {
-        perform(m_machine.start(std::chrono::steady_clock::now()));
-    }
-}
-
-void RelaySession::startResumed()
-{
-    const Gateway::RelayRequest &request = m_machine.request();
-    addTraceLine("stream resumed",
-                 "stream=" + (request.resumedStream ? request.resumedStream->value() : "unknown") + " after=" + *request.resumeAfter);
-    ResumedStream resumed { request.resumedStream, request.id, std::nullopt, request.maxStreamAge() };
-    // A route to several services chooses one by the request id, and a resumption has another id than the request that began the stream.
-    if (request.route->services.size() == 1) {
-        resumed.service = request.service;
-    }
-    m_services.streamBroker.find(
-        resumed, [self = shared_from_this()](const std::optional<Gateway::StreamOrigin> &origin) { self->onOrigin(origin); });
-}
-
-// The caller may have left in the meantime.
-void RelaySession::onOrigin(const std::optional<Gateway::StreamOrigin> &origin)
-{
-    if (m_machine.isFinished()) {
-        return;
-    }
-    const bool isOfRoute = origin && m_machine.request().route->sendsTo(origin->service);
-    addTraceLine("origin",
-                 origin ? "service=" + origin->service.value() + " version=" + origin->softwareVersion
-                         + " of_route=" + (isOfRoute ? "yes" : "no")
-                        : "unknown");
-    if (!isOfRoute) {
-        perform(m_machine.onUnknownOrigin(std::chrono::steady_clock::now()));
-        return;
-    }
-    m_machine.setOrigin(*origin);
     perform(m_machine.start(std::chrono::steady_clock::now()));
 }
 
@@ -203,6 +164,15 @@
     m_services.streamBroker.record(action.stream, action.origin);
 }
 
+void RelaySession::perform(const Gateway::FindOrigin &action)
+{
+    const Gateway::RelayRequest &request = m_machine.request();
+    const ResumedStream resumed { action.stream, request.id, action.service, request.maxStreamAge() };
+    m_services.streamBroker.find(resumed, [self = shared_from_this()](const std::optional<Gateway::StreamOrigin> &origin) {
+        self->perform(self->m_machine.onOrigin(origin, std::chrono::steady_clock::now()));
+    });
+}
+
 void RelaySession::perform(const Gateway::SendRequest &action)
 {
     Net::HttpCallHandlers handlers = attemptHandlers(action.attempt);
@@ -254,7 +224,13 @@
 
 void RelaySession::perform(const Gateway::ForwardHead &action)
 {
-    m_exchange->startStream(toResponse(action.head));
+    Net::HttpResponse response = toResponse(action.head);
+    const std::optional<Gateway::Handover> &handover = m_machine.request().handover;
+    const std::optional<Gateway::StreamOrigin> origin = m_machine.origin();
+    if (handover && handover->takesOrigin && origin) {
+        response.fields.push_back({ ORIGIN_FIELD, originText(*origin) });
+    }
+    m_exchange->startStream(std::move(response));
 }
 
 void RelaySession::perform(const Gateway::ForwardEvents &action)
@@ -371,6 +347,11 @@
     }
     Gateway::TargetResponse response = m_services.port.readTargetResponse(head.status, toFieldList(head.fields));
     response.head.hasOpenEnd = head.hasOpenEnd;
+    try {
+        response.head.origin = readOrigin(head);
+    } catch (const std::exception &error) {
+        m_services.log.write("invalid stream origin", { { "request", m_machine.request().id.value() }, { "reason", error.what() } }, now);
+    }
     removeCellFields(response.head.fields);
     perform(m_machine.onHead(attempt, std::move(response.head), now));
 }
@@ -389,6 +370,7 @@
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
     Gateway::TargetResponse response = m_services.port.readTargetResponse(head.status, toFieldList(head.fields));
+    removeCellFields(response.head.fields);
     if (response.load) {
         m_services.relayContext.targets.setReportedLoad(target.id, *response.load, now);
     }
--- a/src/app/gateway/relaysession.h
+++ b/src/app/gateway/relaysession.h
@@ -34,6 +34,7 @@
     void perform(const Gateway::RequestPermitsFor &action);
     void perform(const Gateway::RequestPlacement &action);
     void perform(const Gateway::RecordStream &action);
+    void perform(const Gateway::FindOrigin &action);
     void perform(const Gateway::SendRequest &action);
     void perform(const Gateway::HandOverRequest &action);
     void perform(const Gateway::CancelAttempt &action);
@@ -49,8 +50,6 @@
     Net::HttpCallRequest targetRequest(const Gateway::SendRequest &action) const;
     Net::HttpCallRequest peerRequest(const Gateway::HandOverRequest &action) const;
     Net::HttpCallHandlers attemptHandlers(Gateway::AttemptNumber attempt);
-    void startResumed();
-    void onOrigin(const std::optional<Gateway::StreamOrigin> &origin);
     void applyLeaving(const TargetId &target);
     void onReceiverHead(Gateway::AttemptNumber attempt, const Net::HttpCallHead &head);
     void onStageFinished(std::size_t stage, const std::vector<Gateway::PieceCompletion> &completions);
--- a/src/app/gateway/requestdispatcher.cpp
+++ b/src/app/gateway/requestdispatcher.cpp
@@ -128,6 +128,10 @@
     request.inputKey = head.inputKey;
     request.resumeAfter = from && from->resumeAfter ? from->resumeAfter : head.resumeAfter;
     request.resumedStream = head.resumedStream;
+    if (from && from->resumeAfter && !head.resumedStream) {
+        // The stream began under the id of this request, at the daemon that hands it over.
+        request.resumedStream = head.id;
+    }
     request.fingerprint = fingerprintOf(target, organisation, message.body());
     std::make_shared<RelaySession>(m_services, exchange, std::move(fields), std::move(request))->start();
 }
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -22,10 +22,11 @@
 /** Status and header fields of a target's response. */
 struct ResponseHead {
     unsigned status = 0;
-    bool isStamped = false;        ///< carries the response stamp, without which a success is not forwarded
-    bool isNotRun = false;         ///< the target states that it did not run the request
-    bool hasOpenEnd = false;       ///< has neither a length nor chunks and ends with its connection
-    std::vector<HttpField> fields; ///< header fields to forward
+    bool isStamped = false;                ///< carries the response stamp, without which a success is not forwarded
+    bool isNotRun = false;                 ///< the target states that it did not run the request
+    bool hasOpenEnd = false;               ///< has neither a length nor chunks and ends with its connection
+    std::vector<HttpField> fields;         ///< header fields to forward
+    std::optional<StreamOrigin> origin {}; ///< named by another daemon that relays the stream
 };
 
 /** Submits the pieces of one stage. */
@@ -48,6 +49,12 @@
     StreamOrigin origin;
 };
 
+/** Finds out where the stream began, then calls RelayMachine::onOrigin(). */
+struct FindOrigin {
+    std::optional<RequestId> stream;    ///< request that brought its first event, if it is known
+    std::optional<ServiceName> service; ///< that must have run it; no value if there are several
+};
+
 /** Sends the request to a target. */
 struct SendRequest {
     AttemptNumber attempt = 0;
@@ -139,6 +146,7 @@
                                  RequestPermitsFor,
                                  RequestPlacement,
                                  RecordStream,
+                                 FindOrigin,
                                  SendRequest,
                                  HandOverRequest,
                                  CancelAttempt,
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -142,8 +142,18 @@
         return actions;
     }
     actions.emplace_back(ArmTimer { m_request.endsAt() });
+    if (lacksOrigin()) {
+        findOrigin(actions);
+    } else {
+        begin(actions, now);
+    }
+    return actions;
+}
+
+void RelayMachine::begin(RelayActions &actions, MonotonicTime now)
+{
     if (redirect(actions, now)) {
-        return actions;
+        return;
     }
     const Duration stageTime = expectedTotalStageTime(now);
     const Duration objective = m_request.route->objective;
@@ -154,10 +164,9 @@
                "stages_ms=" + millisecondsText(stageTime),
                std::clamp<Duration>(stageTime - objective, RETRY_SOON, RETRY_OVERLOADED),
                actions);
-        return actions;
+        return;
     }
     orderReadyStages(actions, now);
-    return actions;
 }
 
 void RelayMachine::setOrigin(const StreamOrigin &origin)
@@ -166,13 +175,34 @@
     m_softwareVersion = origin.softwareVersion;
 }
 
-// Other daemons were asked, so the stream will hardly go on anywhere while its caller waits. A daemon that knows no other has just started.
-RelayActions RelayMachine::onUnknownOrigin(MonotonicTime now)
+RelayActions RelayMachine::onOrigin(const std::optional<StreamOrigin> &origin, MonotonicTime now)
 {
     RelayActions actions;
-    if (!m_finished) {
+    if (m_finished) {
+        return actions;
+    }
+    const bool isOfRoute = origin && m_request.route->sendsTo(origin->service);
+    logDecision(actions,
+                "origin",
+                origin ? "service=" + origin->service.value() + " version=" + origin->softwareVersion
+                        + " of_route=" + (isOfRoute ? "yes" : "no")
+                       : "unknown");
+    const bool hasBegun = m_streamStarted || m_request.isResumption();
+    if (!isOfRoute && hasBegun) {
+        // Other daemons were asked, so the stream will hardly go on anywhere while its caller waits. A daemon that knows no other has just
+        // started.
         const Duration retryAfter = m_context.members.count() > 1 ? std::max<Duration>(RETRY_LATER, m_request.endsAt() - now) : RETRY_SOON;
         giveUp(GiveUpCause::UnknownOrigin, {}, retryAfter, actions);
+        return actions;
+    }
+    m_mayBeBoundElsewhere = false;
+    if (isOfRoute) {
+        setOrigin(*origin);
+    }
+    if (m_attemptCount == 0) {
+        begin(actions, now);
+    } else {
+        send(actions, now);
     }
     return actions;
 }
@@ -263,6 +293,9 @@
             GiveUpCause::InvalidResponse, "status " + std::to_string(head.status) + " instead of the rest of the stream", actions, now);
         return actions;
     }
+    if (m_attempt->receiver && head.origin && !m_softwareVersion && m_request.route->sendsTo(head.origin->service)) {
+        setOrigin(*head.origin);
+    }
     m_attempt->head = std::move(head);
     return actions;
 }
@@ -454,6 +487,11 @@
     return m_request;
 }
 
+std::optional<StreamOrigin> RelayMachine::origin() const
+{
+    return m_softwareVersion ? std::optional(StreamOrigin { m_request.service, *m_softwareVersion }) : std::nullopt;
+}
+
 bool RelayMachine::isFinished() const
 {
     return m_finished;
@@ -475,6 +513,29 @@
     return m_request.route->kind == RouteKind::Stream && m_attempt->head->status == STATUS_OK;
 }
 
+// A daemon that was lost before its first event arrived here may have recorded an origin. Another one would contradict that record.
+bool RelayMachine::lacksOrigin() const
+{
+    const bool isBinding = m_request.route->kind == RouteKind::Stream && m_request.route->isResumable;
+    return isBinding && !m_softwareVersion && (m_streamStarted || m_mayBeBoundElsewhere || m_request.isResumption());
+}
+
+void RelayMachine::findOrigin(RelayActions &actions) const
+{
+    FindOrigin action;
+    // A stream that the caller resumes without naming the request that began it may have any.
+    action.stream = m_request.isResumption() ? m_request.resumedStream : std::optional(m_request.id);
+    // A route to several services chooses one by the request id, and a resumption has another id than the request that began the stream.
+    if (m_request.route->services.size() == 1) {
+        action.service = m_request.service;
+    }
+    logDecision(actions,
+                "stream resumed",
+                "stream=" + (action.stream ? action.stream->value() : "unknown")
+                    + " after=" + (m_streamStarted ? m_framer.lastEventId().value_or("") : m_request.resumeAfter.value_or("")));
+    actions.emplace_back(std::move(action));
+}
+
 void RelayMachine::orderReadyStages(RelayActions &actions, MonotonicTime now)
 {
     for (const std::size_t stage : m_plan.takeReady()) {
@@ -602,6 +663,10 @@
         refuseBanned(actions, now);
         return;
     }
+    if (lacksOrigin()) {
+        findOrigin(actions);
+        return;
+    }
     if (redirect(actions, now)) {
         return;
     }
@@ -739,9 +804,7 @@
     if (m_streamStarted) {
         action.resumeAfter = m_framer.lastEventId();
     }
-    if (m_softwareVersion) {
-        action.handover.origin = StreamOrigin { m_request.service, *m_softwareVersion };
-    }
+    action.handover.origin = origin();
     action.onNewConnection = !m_request.route->isRepeatable();
     logDecision(actions, "handed over", "vm=" + receiver->vm.value() + " service=" + m_request.service.value());
     actions.emplace_back(std::move(action));
@@ -1087,6 +1150,7 @@
     const std::string inputs = receiverText() + " since_sent_ms=" + millisecondsText(now - m_attempt->sentAt)
         + " connection=" + (m_request.route->isRepeatable() ? "any" : "new") + " why=" + detail;
     m_attemptsElsewhere += m_attempt->receiver ? 1 : 0;
+    m_mayBeBoundElsewhere = m_mayBeBoundElsewhere || m_attempt->receiver;
     endAttempt(AttemptResult::Broken, now);
     m_framer.discardPartialEvent();
     logDecision(actions, "response lost", inputs);
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -56,10 +56,10 @@
 
     /** Starts the request, or the part of a stream that follows the caller's last event. */
     RelayActions start(MonotonicTime now);
-    /** Binds a stream that the caller resumes to its origin; call before start(). */
+    /** Binds a stream to its origin. */
     void setOrigin(const StreamOrigin &origin);
-    /** Refuses a stream that the caller resumes because nobody knows its origin. */
-    RelayActions onUnknownOrigin(MonotonicTime now);
+    /** @param origin no value if nobody can tell: a stream that has begun ends then */
+    RelayActions onOrigin(const std::optional<StreamOrigin> &origin, MonotonicTime now);
     RelayActions onStageFinished(std::size_t stage, const std::vector<PieceCompletion> &completions, MonotonicTime now);
     /** The issuer has answered or can't be asked; permits that it issued are known to the target registry. */
     RelayActions onPermits(MonotonicTime now);
@@ -77,6 +77,8 @@
     RelayActions onShutdown(MonotonicTime now);
 
     const RelayRequest &request() const;
+    /** What the stream is bound to; no value before it is sent to a target, and for requests that are not bound. */
+    std::optional<StreamOrigin> origin() const;
     bool isFinished() const;
 
 private:
@@ -104,6 +106,10 @@
     bool isCurrent(AttemptNumber attempt) const;
     bool isAllowedAgain(const TargetRecord &target) const;
     bool forwardsEvents() const;
+    /** Whether the stream may have begun at a version that is not known here. */
+    bool lacksOrigin() const;
+    void findOrigin(RelayActions &actions) const;
+    void begin(RelayActions &actions, MonotonicTime now);
     void orderReadyStages(RelayActions &actions, MonotonicTime now);
     void restartStages(RelayActions &actions, MonotonicTime now);
     Duration minTimeAfter(std::size_t stage) const;
@@ -181,6 +187,7 @@
     bool m_inputsFreed = false;                   ///< the stage results were freed at the first event
     bool m_isTrial = false;                       ///< banned, and let through to a single target
     bool m_streamStarted = false;
+    bool m_mayBeBoundElsewhere = false; ///< a daemon that was lost may have sent the stream to a target
     bool m_finished = false;
 };
 
--- a/src/libs/gateway/relayrequest.h
+++ b/src/libs/gateway/relayrequest.h
@@ -28,6 +28,7 @@
     int attempts = 0; ///< targets to which it may have been sent
     std::set<TargetId> triedTargets;
     std::optional<StreamOrigin> origin; ///< of a stream that is bound to one
+    bool takesOrigin = false;           ///< that daemon reads the origin of the stream from the response
 };
 
 /** A request accepted from a caller, or from the daemon that accepted it. */
--- a/tests/auto/gateway/handoversimulation.cpp
+++ b/tests/auto/gateway/handoversimulation.cpp
@@ -250,6 +250,11 @@
             Overloaded {
                 [&](const SendRequest &send) { sendToTarget(job, send); },
                 [&](const HandOverRequest &handed) { handOver(job, handed); },
+                [&](const FindOrigin &) {
+                    deliver(job, NETWORK_TIME, [this](RelayMachine &machine) {
+                        return machine.onOrigin(StreamOrigin { SERVICE, {} }, m_now);
+                    });
+                },
                 [&](const ArmTimer &timer) {
                     deliver(job, timer.at - m_now, [this](RelayMachine &machine) { return machine.onTimer(m_now); });
                 },
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -249,6 +249,26 @@
         targets.put(record, START);
     }
 
+    void setReachable(bool isReachable)
+    {
+        const ServiceName service("engine");
+        reachability.recordFailure(service, START);
+        m_probedAt += seconds(1);
+        for (const ReachabilityProbe &probe : reachability.takeProbes(targets, m_probedAt)) {
+            reachability.onProbed(probe, isReachable, m_probedAt);
+        }
+    }
+
+    /** Starts a request while this daemon reaches no target. */
+    AttemptNumber handOver(RelayMachine &machine)
+    {
+        members.onGreeting({ VmId("vm-1"), { "10.0.0.1", 1001 }, 1, false }, {}, START);
+        setReachable(false);
+        const RelayActions actions = machine.start(START);
+        BOOST_REQUIRE(find<HandOverRequest>(actions));
+        return find<HandOverRequest>(actions)->attempt;
+    }
+
     RelayMachine stream(int maxAttempts, bool resumed = false)
     {
         Route resumable = route(RouteKind::Stream, maxAttempts);
@@ -261,6 +281,9 @@
         request.resumedStream = RequestId("first-request");
         return { request, context };
     }
+
+private:
+    MonotonicTime m_probedAt = START;
 };
 
 std::string sentVersion(const RelayActions &actions)
@@ -348,7 +371,7 @@
 {
     VersionFixture fixture;
     RelayMachine machine = fixture.stream(2, true);
-    const RelayActions last = machine.onUnknownOrigin(START);
+    const RelayActions last = machine.onOrigin(std::nullopt, START);
     BOOST_TEST(!find<SendRequest>(last));
     BOOST_REQUIRE(find<RefuseRequest>(last));
     BOOST_TEST(find<RefuseRequest>(last)->status == 503U);
@@ -359,15 +382,78 @@
 {
     VersionFixture fixture;
     RelayMachine lone = fixture.stream(2, true);
-    const RelayActions starting = lone.onUnknownOrigin(START);
+    const RelayActions starting = lone.onOrigin(std::nullopt, START);
     BOOST_TEST((find<RefuseRequest>(starting)->retryAfter.value() < seconds(1)));
     fixture.context.members.onGreeting({ VmId("vm2"), { "127.0.0.1", 9002 } }, {}, START);
     RelayMachine machine = fixture.stream(2, true);
     const Duration left = machine.request().endsAt() - START;
-    const RelayActions last = machine.onUnknownOrigin(START);
+    const RelayActions last = machine.onOrigin(std::nullopt, START);
     BOOST_TEST((find<RefuseRequest>(last)->retryAfter.value() >= left / 2));
 }
 
+// Regression (review/2): a stream that had been handed over went on at any version after the daemon that relayed it was lost.
+BOOST_AUTO_TEST_CASE(streamThatWasHandedOverGoesOnAtTheVersionThatBeganIt)
+{
+    for (const std::string version : { "v1", "v2" }) {
+        for (int repetition = 0; repetition < 20; ++repetition) {
+            VersionFixture fixture;
+            RelayMachine machine = fixture.stream(4);
+            const AttemptNumber relayed = fixture.handOver(machine);
+            ResponseHead response = head(200);
+            response.origin = StreamOrigin { ServiceName("engine"), version };
+            machine.onHead(relayed, response, START);
+            machine.onBody(relayed, "id: 1\ndata: a\n\n", START);
+            fixture.setReachable(true);
+            const RelayActions next = machine.onFailed(relayed, AttemptFailure::ConnectionLost, "killed", START);
+            BOOST_TEST(sentVersion(next) == version);
+            BOOST_REQUIRE(find<RecordStream>(next));
+            BOOST_TEST(find<RecordStream>(next)->origin.softwareVersion == version);
+        }
+    }
+}
+
+// A daemon of an earlier version does not name the origin, and one that is lost early has not named it yet.
+BOOST_AUTO_TEST_CASE(recordsDecideWhereALostDaemonBeganTheStream)
+{
+    for (const bool hasEvents : { true, false }) {
+        for (const std::string version : { "v1", "v2", "unknown" }) {
+            VersionFixture fixture;
+            RelayMachine machine = fixture.stream(4);
+            const AttemptNumber relayed = fixture.handOver(machine);
+            if (hasEvents) {
+                machine.onHead(relayed, head(200), START);
+                machine.onBody(relayed, "id: 1\ndata: a\n\n", START);
+            }
+            fixture.setReachable(true);
+            const RelayActions lost = machine.onFailed(relayed, AttemptFailure::ConnectionLost, "killed", START);
+            BOOST_TEST(!find<SendRequest>(lost));
+            BOOST_REQUIRE(find<FindOrigin>(lost));
+            BOOST_TEST((find<FindOrigin>(lost)->stream == machine.request().id));
+            const bool isKnown = version != "unknown";
+            const std::optional<StreamOrigin> origin =
+                isKnown ? std::optional(StreamOrigin { ServiceName("engine"), version }) : std::nullopt;
+            const RelayActions next = machine.onOrigin(origin, START);
+            BOOST_TEST((!isKnown || sentVersion(next) == version));
+            // What has no events yet may begin anywhere.
+            BOOST_TEST((isKnown || (find<SendRequest>(next) != nullptr) != hasEvents));
+            BOOST_TEST((find<AbortStream>(next) != nullptr) == (!isKnown && hasEvents));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(resumedStreamIsNotSentBeforeItsOriginIsKnown)
+{
+    VersionFixture fixture;
+    RelayMachine machine = fixture.stream(2, true);
+    const RelayActions first = machine.start(START);
+    BOOST_TEST(!find<SendRequest>(first));
+    BOOST_REQUIRE(find<FindOrigin>(first));
+    BOOST_TEST((find<FindOrigin>(first)->stream == RequestId("first-request")));
+    const RelayActions other = machine.onOrigin(StreamOrigin { ServiceName("desk"), "v1" }, START);
+    BOOST_TEST(!find<SendRequest>(other));
+    BOOST_TEST(find<RefuseRequest>(other));
+}
+
 // A stream that may not be resumed is not bound to a version, and neither is another request.
 BOOST_AUTO_TEST_CASE(otherRequestsTryAnyVersion)
 {
