Delay removals only after an outage in which entries can expire

Cause: any failed call counted as an outage of the store. What the first response after an outage reports as removed is kept for 2.2 s, since entries of live targets may have expired meanwhile.

Change: a removal is delayed only if the store has not answered for 2.4 s, in which the entry of a live target can have expired.

--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -66,13 +66,25 @@
 
 void StoreWatcher::list()
 {
+    m_isWaiting = false;
     sendCall(m_port.listRequest(m_nextAfter), LIST_TIMEOUT, [this] { onPage(); });
 }
 
 void StoreWatcher::watch()
+{
+    sendWatch(m_timing.wait);
+}
+
+void StoreWatcher::check()
+{
+    sendWatch(std::chrono::milliseconds::zero());
+}
+
+void StoreWatcher::sendWatch(std::chrono::milliseconds wait)
 {
     m_watchStartedAt = std::chrono::steady_clock::now();
-    sendCall(m_port.watchRequest(m_catalogue.revision(), m_timing.wait), m_timing.wait + RESPONSE_TIMEOUT, [this] { onChanges(); });
+    m_isWaiting = wait > std::chrono::milliseconds::zero();
+    sendCall(m_port.watchRequest(m_catalogue.revision(), wait), wait + RESPONSE_TIMEOUT, [this] { onChanges(); });
 }
 
 void StoreWatcher::sendCall(Gateway::PlatformRequest platformRequest, Duration timeToFirstByte, std::function<void()> onReply)
@@ -99,10 +111,14 @@
         m_silenceTimer.cancel();
         onReply();
     };
-    handlers.onFailed = [this](Net::CallFailure, const std::string &detail) {
+    handlers.onFailed = [this](Net::CallFailure failure, const std::string &detail) {
         m_isCallOpen = false;
         m_silenceTimer.cancel();
-        onFailure(detail);
+        if (m_isWaiting && m_reply.status == 0 && failure == Net::CallFailure::ConnectionLost) {
+            onWatchCut(detail);
+        } else {
+            onFailure(detail);
+        }
     };
     m_isCallOpen = true;
     waitForBytes(timeToFirstByte);
@@ -202,6 +218,14 @@
     runAfter(std::max<Duration>(Duration::zero(), m_watchStartedAt + m_timing.interval - now), &StoreWatcher::watch);
 }
 
+// The store may cut a watch while it serves all other calls. Whether it is down shows with a call that does not wait.
+void StoreWatcher::onWatchCut(const std::string &reason)
+{
+    m_log.write(
+        "watch cut", { { "reason", reason }, { "revision", std::to_string(m_catalogue.revision()) } }, std::chrono::steady_clock::now());
+    runAfter(MIN_RETRY_DELAY, &StoreWatcher::check);
+}
+
 void StoreWatcher::onFailure(const std::string &reason)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
@@ -214,7 +238,7 @@
     if (!m_isListed) {
         m_nextAfter.clear();
     }
-    runAfter(delay, m_isListed ? &StoreWatcher::watch : &StoreWatcher::list);
+    runAfter(delay, m_isListed ? &StoreWatcher::check : &StoreWatcher::list);
 }
 
 void StoreWatcher::onResponse()
@@ -222,7 +246,7 @@
     const MonotonicTime now = std::chrono::steady_clock::now();
     m_failures = 0;
     m_lastCallDuration = now - m_callStartedAt;
-    m_catalogue.setStoreAvailable();
+    m_catalogue.setStoreAvailable(now);
     if (std::exchange(m_isStoreLost, false)) {
         m_log.write("store regained", { { "revision", std::to_string(m_catalogue.revision()) } }, now);
     }
--- a/src/app/gateway/storewatcher.h
+++ b/src/app/gateway/storewatcher.h
@@ -48,7 +48,11 @@
     };
 
     void list();
+    /** Waits for changes. */
     void watch();
+    /** Asks for the changes so far; a store that is up answers at once. */
+    void check();
+    void sendWatch(std::chrono::milliseconds wait);
     /** @param timeToFirstByte the call fails when the response has not begun by then */
     void sendCall(Gateway::PlatformRequest platformRequest, Duration timeToFirstByte, std::function<void()> onReply);
     void waitForBytes(Duration time);
@@ -56,6 +60,7 @@
     void onPage();
     void onChanges();
     void onFailure(const std::string &reason);
+    void onWatchCut(const std::string &reason);
     void onResponse();
     void runAfter(Duration delay, void (StoreWatcher::*step)());
     void publish(const Gateway::CatalogueChanges &changes);
@@ -70,6 +75,7 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_silenceTimer;
     bool m_isCallOpen = false;
+    bool m_isWaiting = false; ///< the open call waits for changes
     std::shared_ptr<Net::HttpCall> m_call;
     Reply m_reply;
     std::vector<Gateway::StoreEntry> m_listedEntries; ///< entries of the pages read so far
--- a/src/libs/gateway/catalogue.cpp
+++ b/src/libs/gateway/catalogue.cpp
@@ -4,7 +4,9 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds RECONNECT_GRACE { 2200 };  // expired entries are renewed about two seconds after the store's return
+constexpr std::chrono::milliseconds RECONNECT_GRACE { 2200 }; // expired entries are renewed about two seconds after the store's return
+// An entry expires after three heartbeats of 1.2 s. A live target has renewed it at most one of them before the store became unavailable.
+constexpr std::chrono::milliseconds MIN_EXPIRY_TIME { 2400 };
 constexpr std::chrono::seconds DROPPED_TARGET_LIFETIME { 60 }; // older than any copy from which the store is restored
 
 } // namespace
@@ -79,9 +81,11 @@
     m_storeUnavailable = true;
 }
 
-void Catalogue::setStoreAvailable()
+void Catalogue::setStoreAvailable(MonotonicTime now)
 {
-    m_isFirstResponse = m_isFirstResponse || m_storeUnavailable;
+    const bool mayHaveExpired = m_storeUnavailable && (!m_answeredAt || now - *m_answeredAt >= MIN_EXPIRY_TIME);
+    m_isFirstResponse = m_isFirstResponse || mayHaveExpired;
+    m_answeredAt = now;
     m_storeUnavailable = false;
 }
 
--- a/src/libs/gateway/catalogue.h
+++ b/src/libs/gateway/catalogue.h
@@ -40,9 +40,9 @@
 /**
  * Local view of the store: the newest configuration, the disabled failure domains and the targets.
  *
- * A configuration is never replaced by an older version. Targets that disappeared while the store was unavailable are kept for a short
- * grace period after its return: their entries may have expired only because they could not be renewed. Targets that disappear later
- * are dropped immediately.
+ * A configuration is never replaced by an older version. Targets that disappeared while the store was unavailable for so long that entries
+ * of live targets expire are kept for a short grace period after its return: they may only not have been renewed. All other targets that
+ * disappear are dropped immediately.
  *
  * A store that was restored from a copy lists what it held some seconds ago, until it is written again. The first listing after that
  * brings no target back that has left since, and withdraws nothing before the grace period has ended.
@@ -60,7 +60,7 @@
     bool isNewEra(std::int64_t era);
     /** The store did not respond, or refused the request of this daemon. */
     void setStoreUnavailable();
-    void setStoreAvailable();
+    void setStoreAvailable(MonotonicTime now);
     /** Whether the last call to the store was answered; true before the first one. */
     bool isStoreAvailable() const;
     /** Drops targets whose grace period has ended. */
@@ -98,8 +98,9 @@
     std::optional<std::int64_t> m_era;
     std::int64_t m_revision = 0;
     bool m_storeUnavailable = false;
-    bool m_isFirstResponse = false; ///< the first response after an outage is being applied
-    bool m_isRestoredCopy = false;  ///< no listing has been applied since the store was restored from a copy
+    std::optional<MonotonicTime> m_answeredAt; ///< time of the last response
+    bool m_isFirstResponse = false;            ///< the first response after an outage in which entries may have expired
+    bool m_isRestoredCopy = false;             ///< no listing has been applied since the store was restored from a copy
 };
 
 } // namespace CassiaRelay::Gateway
--- a/tests/auto/gateway/tst_catalogue.cpp
+++ b/tests/auto/gateway/tst_catalogue.cpp
@@ -122,11 +122,12 @@
 BOOST_AUTO_TEST_CASE(expiredEntryIsKeptForAGracePeriodAfterReconnect)
 {
     Catalogue catalogue;
-    catalogue.applyListing({ published("one"), published("two") }, 1, START);
+    catalogue.setStoreAvailable(START - seconds(4));
+    catalogue.applyListing({ published("one"), published("two") }, 1, START - seconds(4));
     catalogue.setStoreUnavailable();
-    catalogue.setStoreAvailable();
+    catalogue.setStoreAvailable(START);
     BOOST_TEST(count<TargetDropped>(catalogue.applyChanges({ { removed("one"), removed("two") }, 2 }, START)) == 0);
-    catalogue.setStoreAvailable();
+    catalogue.setStoreAvailable(START + seconds(1));
     catalogue.applyChanges({ { published("one") }, 3 }, START + seconds(1));
     BOOST_TEST(count<TargetDropped>(catalogue.expire(START + seconds(2))) == 0);
     BOOST_REQUIRE(catalogue.nextExpiry().has_value());
@@ -140,10 +141,11 @@
 {
     Catalogue catalogue;
     catalogue.applyListing({ published("one") }, 1, START);
+    catalogue.setStoreAvailable(START - seconds(4));
     catalogue.setStoreUnavailable();
-    catalogue.setStoreAvailable();
+    catalogue.setStoreAvailable(START);
     catalogue.applyChanges({ {}, 2 }, START);
-    catalogue.setStoreAvailable();
+    catalogue.setStoreAvailable(START + milliseconds(100));
     BOOST_TEST(count<TargetDropped>(catalogue.applyChanges({ { removed("one") }, 3 }, START + milliseconds(100))) == 1);
 }
 
@@ -153,11 +155,26 @@
     TargetRecord leaving = target("one", "engine");
     leaving.isLeaving = true;
     catalogue.applyListing({ TargetPublished { leaving } }, 1, START);
+    catalogue.setStoreAvailable(START - seconds(4));
     catalogue.setStoreUnavailable();
-    catalogue.setStoreAvailable();
+    catalogue.setStoreAvailable(START);
     BOOST_TEST(count<TargetDropped>(catalogue.applyListing({}, 2, START)) == 1);
 }
 
+// Regression (review/5): a target that left just after a call had failed received requests for two more seconds, though the store had been
+// away for too short a time for entries of live targets to expire.
+BOOST_AUTO_TEST_CASE(shortOutageDelaysNoRemoval)
+{
+    for (const Duration outage : { Duration(milliseconds(200)), Duration(milliseconds(2300)) }) {
+        Catalogue catalogue;
+        catalogue.setStoreAvailable(START);
+        catalogue.applyListing({ published("one"), published("two") }, 1, START);
+        catalogue.setStoreUnavailable();
+        catalogue.setStoreAvailable(START + outage);
+        BOOST_TEST(count<TargetDropped>(catalogue.applyChanges({ { removed("one") }, 2 }, START + outage)) == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(listingRestoresADomainThatIsNotListedAsDisabled)
 {
     Catalogue catalogue;
--- a/tests/auto/gateway/tst_versionhistory.cpp
+++ b/tests/auto/gateway/tst_versionhistory.cpp
@@ -81,7 +81,7 @@
     BOOST_TEST(catalogue.soleVersion(ENGINE, START + seconds(30)).has_value());
     catalogue.setStoreUnavailable();
     BOOST_TEST(!catalogue.soleVersion(ENGINE, START + seconds(30)).has_value());
-    catalogue.setStoreAvailable();
+    catalogue.setStoreAvailable(START + seconds(40));
     catalogue.applyListing({ published("a", "v1") }, 9, START + seconds(40));
     BOOST_TEST((catalogue.soleVersion(ENGINE, START + seconds(41))->alone == seconds(1)));
 }
