Ask for records first, and confirm the list of targets before it proves anything

Cause: the daemon took the only version in its own list for the one that had begun the stream, and did not ask the daemons that held the record. The list may be 1.7 s old when the store is silent, 0.8 s between two watches, and older after a process stood still.

Change: the daemons that may hold a record are asked first. Without a record, a single version counts only if a call to the store that was sent after the question shows no other; what other daemons have seen says how old it is, and must leave no gap.

--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -198,6 +198,7 @@
             [this](const Gateway::ServiceName &service) { return m_members.ownedShare(service, m_settings.maxVms); },
             std::chrono::steady_clock::now());
     }
+    m_streamBroker.setUpdateFunction([this](auto handler) { m_watcher.bringUpToDate(std::move(handler)); });
     m_targets.setVmCount(settings.maxVms);
     if (m_relayContext.scheduling.usesFleetAdmission) {
         m_pieceBroker.setServiceLoadBoard(m_relayContext.serviceLoads);
--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -168,8 +168,8 @@
 {
     const Gateway::RelayRequest &request = m_machine.request();
     const ResumedStream resumed { action.stream, request.id, action.service, request.maxStreamAge() };
-    m_services.streamBroker.find(resumed, [self = shared_from_this()](const std::optional<Gateway::StreamOrigin> &origin) {
-        self->perform(self->m_machine.onOrigin(origin, std::chrono::steady_clock::now()));
+    m_services.streamBroker.find(resumed, [self = shared_from_this()](const Gateway::FoundOrigin &found) {
+        self->perform(self->m_machine.onOrigin(found, std::chrono::steady_clock::now()));
     });
 }
 
--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds MIN_RETRY_DELAY { 200 };
 constexpr std::chrono::milliseconds MAX_RETRY_DELAY { 1000 }; // rejected calls have a cost, too; a recovery must be noticed within seconds
 constexpr int MAX_BACKOFF_DOUBLINGS = 3;
+constexpr std::chrono::milliseconds MIN_CHECK_INTERVAL { 400 }; // 380 daemons together stay below the 2,000 calls a second of the store
+constexpr std::chrono::milliseconds CURRENT_TIMEOUT { 2000 };   // two calls that fail, and a third
 
 } // namespace
 
@@ -36,6 +38,7 @@
     , m_changeHandler(std::move(changeHandler))
     , m_timer(context)
     , m_silenceTimer(context)
+    , m_hastenTimer(context)
 {
 }
 
@@ -49,6 +52,7 @@
     m_isStopped = true;
     m_timer.cancel();
     m_silenceTimer.cancel();
+    m_hastenTimer.cancel();
     if (m_call) {
         m_call->cancel();
     }
@@ -67,6 +71,9 @@
 void StoreWatcher::list()
 {
     m_isWaiting = false;
+    if (m_nextAfter.empty()) {
+        m_listStartedAt = std::chrono::steady_clock::now();
+    }
     sendCall(m_port.listRequest(m_nextAfter), LIST_TIMEOUT, [this] { onPage(); });
 }
 
@@ -84,6 +91,7 @@
 {
     m_watchStartedAt = std::chrono::steady_clock::now();
     m_isWaiting = wait > std::chrono::milliseconds::zero();
+    m_isPaused = false;
     sendCall(m_port.watchRequest(m_catalogue.revision(), wait), wait + RESPONSE_TIMEOUT, [this] { onChanges(); });
 }
 
@@ -188,7 +196,9 @@
         "store listed", { { "revision", std::to_string(m_listedRevision) }, { "entries", std::to_string(m_listedEntries.size()) } }, now);
     m_listedEntries.clear();
     m_isListed = true;
+    onApplied(m_listStartedAt);
     watch();
+    hasten();
 }
 
 void StoreWatcher::onChanges()
@@ -215,7 +225,74 @@
         onFailure(error.what());
         return;
     }
+    m_isPaused = true;
     runAfter(std::max<Duration>(Duration::zero(), m_watchStartedAt + m_timing.interval - now), &StoreWatcher::watch);
+    onApplied(m_watchStartedAt);
+    hasten();
+}
+
+void StoreWatcher::bringUpToDate(CurrentHandler handler)
+{
+    const std::uint64_t number = ++m_waiterCount;
+    m_waiters[number] = { std::chrono::steady_clock::now(), std::move(handler) };
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_timer.get_executor(), CURRENT_TIMEOUT);
+    timer->async_wait([this, timer, number](const boost::system::error_code &) {
+        const auto waiter = m_waiters.find(number);
+        if (waiter == m_waiters.end()) {
+            return;
+        }
+        const CurrentHandler onTimeout = std::move(waiter->second.handler);
+        m_waiters.erase(waiter);
+        onTimeout(false);
+    });
+    hasten();
+}
+
+// What waits for changes was sent before, and its answer may have left the store before as well.
+void StoreWatcher::hasten()
+{
+    const bool isIdle = m_isPaused || (m_isCallOpen && m_isWaiting);
+    if (m_waiters.empty() || m_isStopped || !isIdle) {
+        return;
+    }
+    m_hastenTimer.expires_at(std::max(std::chrono::steady_clock::now(), m_watchStartedAt + MIN_CHECK_INTERVAL));
+    m_hastenTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            checkEarly();
+        }
+    });
+}
+
+void StoreWatcher::checkEarly()
+{
+    const bool isReceiving = m_isCallOpen && m_reply.status != 0;
+    const bool isIdle = m_isPaused || (m_isCallOpen && m_isWaiting);
+    if (m_waiters.empty() || m_isStopped || !isIdle || isReceiving) {
+        return;
+    }
+    if (std::exchange(m_isCallOpen, false)) {
+        m_silenceTimer.cancel();
+        m_call->cancel();
+    }
+    m_timer.cancel();
+    check();
+}
+
+void StoreWatcher::onApplied(MonotonicTime sentAt)
+{
+    m_catalogue.setCurrentAsOf(sentAt);
+    std::vector<CurrentHandler> done;
+    for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();) {
+        if (waiter->second.since > sentAt) {
+            ++waiter;
+            continue;
+        }
+        done.push_back(std::move(waiter->second.handler));
+        waiter = m_waiters.erase(waiter);
+    }
+    for (const CurrentHandler &handler : done) {
+        handler(true);
+    }
 }
 
 // The store may cut a watch while it serves all other calls. Whether it is down shows with a call that does not wait.
--- a/src/app/gateway/storewatcher.h
+++ b/src/app/gateway/storewatcher.h
@@ -7,6 +7,7 @@
 #include <net/net.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -22,6 +23,7 @@
 {
 public:
     using ChangeHandler = std::function<void(const Gateway::CatalogueChanges &)>;
+    using CurrentHandler = std::function<void(bool isCurrent)>;
 
     /** @param changeTime in which a change in the store must be in force */
     StoreWatcher(boost::asio::io_context &context,
@@ -35,11 +37,22 @@
 
     void start();
     void stop();
+    /**
+     * Calls the handler when the catalogue holds everything that the store had acknowledged by now, as the answer to a later call proves.
+     * @param handler called later in any case; with false if the store has not answered in time
+     */
+    void bringUpToDate(CurrentHandler handler);
     std::uint64_t calls() const;
     /** Time that the last response took; a watch waits for changes during a part of it. */
     Duration lastCallDuration() const;
 
 private:
+    /** Waits until the catalogue is up to date. */
+    struct Waiter {
+        MonotonicTime since;
+        CurrentHandler handler;
+    };
+
     /** The part of the response to the current call that has been received so far. */
     struct Reply {
         unsigned status = 0;
@@ -62,6 +75,11 @@
     void onFailure(const std::string &reason);
     void onWatchCut(const std::string &reason);
     void onResponse();
+    /** Asks the store earlier than planned if somebody waits for its state. */
+    void hasten();
+    void checkEarly();
+    /** The answers to calls that were sent at that time, or before, have been applied. */
+    void onApplied(MonotonicTime sentAt);
     void runAfter(Duration delay, void (StoreWatcher::*step)());
     void publish(const Gateway::CatalogueChanges &changes);
 
@@ -74,14 +92,19 @@
     ChangeHandler m_changeHandler;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_silenceTimer;
+    boost::asio::steady_timer m_hastenTimer;
+    std::map<std::uint64_t, Waiter> m_waiters; ///< by the number of the call of bringUpToDate()
+    std::uint64_t m_waiterCount = 0;
     bool m_isCallOpen = false;
     bool m_isWaiting = false; ///< the open call waits for changes
+    bool m_isPaused = false;  ///< the next watch starts when the interval has ended
     std::shared_ptr<Net::HttpCall> m_call;
     Reply m_reply;
     std::vector<Gateway::StoreEntry> m_listedEntries; ///< entries of the pages read so far
     std::int64_t m_listedRevision = 0;                ///< revision of the first page; the watch reports later changes
     std::string m_nextAfter;
     MonotonicTime m_watchStartedAt;
+    MonotonicTime m_listStartedAt;
     MonotonicTime m_callStartedAt;
     Duration m_lastCallDuration {};
     bool m_isListed = false;
--- a/src/app/gateway/streambroker.cpp
+++ b/src/app/gateway/streambroker.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t COPIES = 2; // at other daemons; two daemons may be lost at a time, one of them with the stream
 constexpr std::size_t ASKED = 4;  // daemons that were lost or have started since may come before those with a copy
 constexpr std::chrono::milliseconds RECORD_TIMEOUT { 1000 };
+// Age of what a daemon of an earlier version knows of the store: a pause, a watch and a call that fails.
+constexpr std::chrono::milliseconds MAX_UNSTATED_AGE { 3000 };
 constexpr std::chrono::milliseconds QUERY_TIMEOUT { 200 }; // the caller waits meanwhile; peers respond within a few milliseconds
 
 } // namespace
@@ -21,7 +23,10 @@
 struct StreamBroker::Search {
     ResumedStream resumed;
     FoundHandler onFound; ///< empty once it was called
+    MonotonicTime startedAt;
     std::size_t openQueries = 0;
+    bool haveAllAnswered = true;
+    std::vector<Gateway::SoleVersion> seenByOthers;
 };
 
 StreamBroker::StreamBroker(boost::asio::io_context &context,
@@ -41,6 +46,11 @@
 {
 }
 
+void StreamBroker::setUpdateFunction(UpdateFunction function)
+{
+    m_updateCatalogue = std::move(function);
+}
+
 void StreamBroker::record(const RequestId &stream, const Gateway::StreamOrigin &origin)
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
@@ -72,22 +82,23 @@
 
 void StreamBroker::find(const ResumedStream &resumed, FoundHandler onFound)
 {
-    const MonotonicTime now = std::chrono::steady_clock::now();
-    std::optional<Gateway::StreamOrigin> known = resumed.stream ? m_directory.find(*resumed.stream) : std::nullopt;
-    const std::optional<Gateway::SoleVersion> sole = resumed.service ? m_catalogue.soleVersion(*resumed.service, now) : std::nullopt;
-    if (!known) {
-        known = provenOrigin(resumed, sole);
-    }
-    // Without a record, and with several versions listed, the others can't know more.
-    const bool isUseful = resumed.stream || sole;
-    const std::vector<Gateway::Member> others = m_members.ranked(resumed.stream.value_or(resumed.request).value(), ASKED);
-    if (known || !isUseful || others.empty()) {
-        boost::asio::post(m_context, [known, onFound = std::move(onFound)] { onFound(known); });
+    const std::optional<Gateway::StreamOrigin> known = resumed.stream ? m_directory.find(*resumed.stream) : std::nullopt;
+    if (known) {
+        boost::asio::post(m_context, [known, onFound = std::move(onFound)] { onFound({ known }); });
         return;
     }
     auto search = std::make_shared<Search>();
     search->resumed = resumed;
     search->onFound = std::move(onFound);
+    search->startedAt = std::chrono::steady_clock::now();
+    // A stream without a name has no record. The others may still have followed the store for longer than this daemon.
+    const bool isSole = resumed.service && m_catalogue.soleVersion(*resumed.service, search->startedAt);
+    const bool isUseful = resumed.stream || (isSole && !soleOrigin(*search));
+    const std::vector<Gateway::Member> others = m_members.ranked(resumed.stream.value_or(resumed.request).value(), ASKED);
+    if (!isUseful || others.empty()) {
+        boost::asio::post(m_context, [this, search] { proveOrigin(search); });
+        return;
+    }
     search->openQueries = others.size();
     for (const Gateway::Member &member : others) {
         ask(member, search);
@@ -121,9 +132,9 @@
     try {
         const auto message = Schema::parseBoundedCbor(exchange->request().body()).get<Schema::StreamQuery>();
         const std::optional<Gateway::StreamOrigin> origin = m_directory.find(RequestId(message.stream));
-        const std::optional<Gateway::SoleVersion> sole = message.service
-            ? m_catalogue.soleVersion(Gateway::ServiceName(*message.service), std::chrono::steady_clock::now())
-            : std::nullopt;
+        const MonotonicTime now = std::chrono::steady_clock::now();
+        const std::optional<Gateway::SoleVersion> sole =
+            message.service ? m_catalogue.soleVersion(Gateway::ServiceName(*message.service), now) : std::nullopt;
         Schema::StreamAnswer answer;
         if (origin) {
             answer.service = origin->service.value();
@@ -132,6 +143,7 @@
         if (sole) {
             answer.soleVersion = sole->softwareVersion;
             answer.aloneMs = std::chrono::duration_cast<std::chrono::milliseconds>(sole->alone).count();
+            answer.asOfMs = std::chrono::duration_cast<std::chrono::milliseconds>(now - sole->asOf).count();
         }
         response.body = Schema::toCbor(answer);
     } catch (const std::exception &error) {
@@ -157,9 +169,11 @@
     handlers.onHead = [status](const Net::HttpCallHead &head) { *status = head.status; };
     handlers.onBody = [body](const std::string &part) { *body += part; };
     handlers.onFinished = [this, search, status, body] {
-        Schema::StreamAnswer answer;
+        std::optional<Schema::StreamAnswer> answer;
         try {
-            answer = *status == STATUS_OK ? Schema::parseBoundedCbor(*body).get<Schema::StreamAnswer>() : Schema::StreamAnswer {};
+            if (*status == STATUS_OK) {
+                answer = Schema::parseBoundedCbor(*body).get<Schema::StreamAnswer>();
+            }
         } catch (const std::exception &error) {
             m_log.write("invalid stream answer", { { "reason", error.what() } }, std::chrono::steady_clock::now());
         }
@@ -169,53 +183,81 @@
         m_log.write("stream query failed",
                     { { "request", search->resumed.request.value() }, { "reason", reason } },
                     std::chrono::steady_clock::now());
-        onAnswer(search, {});
+        onAnswer(search, std::nullopt);
     };
     m_peerClient.send(std::move(request), std::move(handlers));
 }
 
 // The first daemon that knows the stream decides: a stream is bound to one version, so all copies are equal.
-void StreamBroker::onAnswer(const std::shared_ptr<Search> &search, const Schema::StreamAnswer &answer)
+void StreamBroker::onAnswer(const std::shared_ptr<Search> &search, const std::optional<Schema::StreamAnswer> &answer)
 {
     --search->openQueries;
     if (!search->onFound) {
         return;
     }
-    const ResumedStream &resumed = search->resumed;
-    if (answer.service && answer.version) {
-        finish(*search, Gateway::StreamOrigin { Gateway::ServiceName(*answer.service), *answer.version });
+    search->haveAllAnswered = search->haveAllAnswered && answer;
+    if (answer && answer->service && answer->version) {
+        finish(*search, { Gateway::StreamOrigin { Gateway::ServiceName(*answer->service), *answer->version } });
         return;
     }
-    std::optional<Gateway::StreamOrigin> proven;
-    if (answer.soleVersion && answer.aloneMs) {
-        proven = provenOrigin(resumed, Gateway::SoleVersion { *answer.soleVersion, std::chrono::milliseconds(*answer.aloneMs) });
+    if (answer && answer->soleVersion && answer->aloneMs) {
+        const Duration age = answer->asOfMs ? Duration(std::chrono::milliseconds(*answer->asOfMs)) : Duration(MAX_UNSTATED_AGE);
+        search->seenByOthers.push_back({ *answer->soleVersion, std::chrono::milliseconds(*answer->aloneMs), search->startedAt - age });
     }
-    if (proven || search->openQueries == 0) {
-        finish(*search, proven);
+    if (search->openQueries == 0) {
+        proveOrigin(search);
     }
 }
 
-void StreamBroker::finish(Search &search, const std::optional<Gateway::StreamOrigin> &origin)
+// A target of another version may have been published, and may have begun the stream, since the store last answered this daemon.
+void StreamBroker::proveOrigin(const std::shared_ptr<Search> &search)
 {
-    if (!origin) {
+    if (!soleOrigin(*search) || !m_updateCatalogue) {
+        finish(*search, { std::nullopt, search->haveAllAnswered });
+        return;
+    }
+    m_updateCatalogue([this, search](bool isCurrent) {
+        const std::optional<Gateway::StreamOrigin> origin = isCurrent ? soleOrigin(*search) : std::nullopt;
+        const MonotonicTime now = std::chrono::steady_clock::now();
+        m_log.write(
+            "origin without a record",
+            { { "request", search->resumed.request.value() },
+              { "version", origin ? origin->softwareVersion : "unknown" },
+              { "store", isCurrent ? "current" : "not heard" },
+              { "waited_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - search->startedAt).count()) } },
+            now);
+        finish(*search, { origin, isCurrent && search->haveAllAnswered });
+    });
+}
+
+void StreamBroker::finish(Search &search, const Gateway::FoundOrigin &found)
+{
+    if (!found.origin) {
         m_unknownCounter.add();
     } else if (search.resumed.stream) {
-        m_directory.record(*search.resumed.stream, *origin, std::chrono::steady_clock::now());
+        m_directory.record(*search.resumed.stream, *found.origin, std::chrono::steady_clock::now());
     }
-    std::exchange(search.onFound, nullptr)(origin);
+    std::exchange(search.onFound, nullptr)(found);
 }
 
-std::optional<Gateway::StreamOrigin> StreamBroker::provenOrigin(const ResumedStream &resumed,
-                                                                const std::optional<Gateway::SoleVersion> &seen) const
+// What another daemon has seen counts for the time before this one has followed the store, if there is no gap between.
+std::optional<Gateway::StreamOrigin> StreamBroker::soleOrigin(const Search &search) const
 {
-    if (!resumed.service || !seen || !seen->hasBegunAllStreams(resumed.maxAge)) {
+    if (!search.resumed.service) {
         return std::nullopt;
     }
-    const std::optional<Gateway::SoleVersion> here = m_catalogue.soleVersion(*resumed.service, std::chrono::steady_clock::now());
-    if (!here || here->softwareVersion != seen->softwareVersion) {
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const std::optional<Gateway::SoleVersion> here = m_catalogue.soleVersion(*search.resumed.service, now);
+    if (!here) {
         return std::nullopt;
     }
-    return Gateway::StreamOrigin { *resumed.service, seen->softwareVersion };
+    bool isProven = here->hasBegunAllStreams(search.resumed.maxAge);
+    for (const Gateway::SoleVersion &seen : search.seenByOthers) {
+        const bool hasNoGap = seen.asOf >= now - here->alone;
+        isProven =
+            isProven || (hasNoGap && seen.softwareVersion == here->softwareVersion && seen.hasBegunAllStreams(search.resumed.maxAge));
+    }
+    return isProven ? std::optional(Gateway::StreamOrigin { *search.resumed.service, here->softwareVersion }) : std::nullopt;
 }
 
 } // namespace CassiaRelay::GatewayDaemon
--- a/src/app/gateway/streambroker.h
+++ b/src/app/gateway/streambroker.h
@@ -24,7 +24,9 @@
 class StreamBroker
 {
 public:
-    using FoundHandler = std::function<void(const std::optional<Gateway::StreamOrigin> &)>;
+    using FoundHandler = std::function<void(const Gateway::FoundOrigin &)>;
+    /** Calls the handler when the catalogue is up to date, or with false if the store can't be asked. */
+    using UpdateFunction = std::function<void(std::function<void(bool isCurrent)>)>;
 
     StreamBroker(boost::asio::io_context &context,
                  Net::HttpClient &peerClient,
@@ -33,9 +35,11 @@
                  Metrics::Registry &metrics,
                  EventLog &log);
 
+    /** Without it, only records tell where a stream began. */
+    void setUpdateFunction(UpdateFunction function);
     void record(const RequestId &stream, const Gateway::StreamOrigin &origin);
     /**
-     * Finds the origin of a stream: from a record, or because only one version can have begun it.
+     * Finds the origin of a stream: from a record of any daemon, or because only one version can have begun it.
      * @param onFound called later in any case; without a value if the origin is not certain
      */
     void find(const ResumedStream &resumed, FoundHandler onFound);
@@ -51,10 +55,13 @@
     struct Search;
 
     void ask(const Gateway::Member &member, const std::shared_ptr<Search> &search);
-    void onAnswer(const std::shared_ptr<Search> &search, const Schema::StreamAnswer &answer);
-    void finish(Search &search, const std::optional<Gateway::StreamOrigin> &origin);
-    /** The origin if the only version that targets of the service run here has run alone since before the stream can have begun. */
-    std::optional<Gateway::StreamOrigin> provenOrigin(const ResumedStream &resumed, const std::optional<Gateway::SoleVersion> &seen) const;
+    /** @param answer no value if the daemon has not answered */
+    void onAnswer(const std::shared_ptr<Search> &search, const std::optional<Schema::StreamAnswer> &answer);
+    /** Nobody has a record of the stream. */
+    void proveOrigin(const std::shared_ptr<Search> &search);
+    void finish(Search &search, const Gateway::FoundOrigin &found);
+    /** The origin if targets of the service have run a single version since before the stream can have begun, as far as is known here. */
+    std::optional<Gateway::StreamOrigin> soleOrigin(const Search &search) const;
 
     boost::asio::io_context &m_context;
     Net::HttpClient &m_peerClient;
@@ -65,6 +72,7 @@
     Metrics::Counter &m_queryCounter;
     Metrics::Counter &m_unknownCounter;
     Gateway::StreamDirectory m_directory;
+    UpdateFunction m_updateCatalogue;
 };
 
 } // namespace CassiaRelay::GatewayDaemon
--- a/src/libs/gateway/catalogue.cpp
+++ b/src/libs/gateway/catalogue.cpp
@@ -89,6 +89,11 @@
     m_storeUnavailable = false;
 }
 
+void Catalogue::setCurrentAsOf(MonotonicTime time)
+{
+    m_currentAsOf = time;
+}
+
 bool Catalogue::isStoreAvailable() const
 {
     return !m_storeUnavailable;
@@ -152,7 +157,11 @@
 
 std::optional<SoleVersion> Catalogue::soleVersion(const ServiceName &service, MonotonicTime now) const
 {
-    return m_storeUnavailable ? std::nullopt : m_versions.soleVersion(service, now);
+    std::optional<SoleVersion> sole = m_storeUnavailable ? std::nullopt : m_versions.soleVersion(service, now);
+    if (sole) {
+        sole->asOf = m_currentAsOf;
+    }
+    return sole;
 }
 
 std::int64_t Catalogue::revision() const
--- a/src/libs/gateway/catalogue.h
+++ b/src/libs/gateway/catalogue.h
@@ -61,6 +61,8 @@
     /** The store did not respond, or refused the request of this daemon. */
     void setStoreUnavailable();
     void setStoreAvailable(MonotonicTime now);
+    /** Everything that the store had acknowledged by then has been applied. */
+    void setCurrentAsOf(MonotonicTime time);
     /** Whether the last call to the store was answered; true before the first one. */
     bool isStoreAvailable() const;
     /** Drops targets whose grace period has ended. */
@@ -99,8 +101,9 @@
     std::int64_t m_revision = 0;
     bool m_storeUnavailable = false;
     std::optional<MonotonicTime> m_answeredAt; ///< time of the last response
-    bool m_isFirstResponse = false;            ///< the first response after an outage in which entries may have expired
-    bool m_isRestoredCopy = false;             ///< no listing has been applied since the store was restored from a copy
+    MonotonicTime m_currentAsOf;
+    bool m_isFirstResponse = false; ///< the first response after an outage in which entries may have expired
+    bool m_isRestoredCopy = false;  ///< no listing has been applied since the store was restored from a copy
 };
 
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/relayaction.h
+++ b/src/libs/gateway/relayaction.h
@@ -49,6 +49,12 @@
     StreamOrigin origin;
 };
 
+/** What is known of where a stream began. */
+struct FoundOrigin {
+    std::optional<StreamOrigin> origin;
+    bool isFinal = true; ///< false if daemons that may know more have not answered
+};
+
 /** Finds out where the stream began, then calls RelayMachine::onOrigin(). */
 struct FindOrigin {
     std::optional<RequestId> stream;    ///< request that brought its first event, if it is known
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -175,23 +175,26 @@
     m_softwareVersion = origin.softwareVersion;
 }
 
-RelayActions RelayMachine::onOrigin(const std::optional<StreamOrigin> &origin, MonotonicTime now)
+// Where all daemons have been asked, the stream will hardly go on while its caller waits. A daemon that knows no other has just started.
+RelayActions RelayMachine::onOrigin(const FoundOrigin &found, MonotonicTime now)
 {
     RelayActions actions;
     if (m_finished) {
         return actions;
     }
+    const std::optional<StreamOrigin> &origin = found.origin;
     const bool isOfRoute = origin && m_request.route->sendsTo(origin->service);
-    logDecision(actions,
-                "origin",
-                origin ? "service=" + origin->service.value() + " version=" + origin->softwareVersion
-                        + " of_route=" + (isOfRoute ? "yes" : "no")
-                       : "unknown");
+    std::string text = found.isFinal ? "unknown" : "unknown, not all were heard";
+    if (origin) {
+        text = "service=" + origin->service.value() + " version=" + origin->softwareVersion + " of_route=" + (isOfRoute ? "yes" : "no");
+    }
+    logDecision(actions, "origin", text);
     const bool hasBegun = m_streamStarted || m_request.isResumption();
     if (!isOfRoute && hasBegun) {
-        // Other daemons were asked, so the stream will hardly go on anywhere while its caller waits. A daemon that knows no other has just
-        // started.
-        const Duration retryAfter = m_context.members.count() > 1 ? std::max<Duration>(RETRY_LATER, m_request.endsAt() - now) : RETRY_SOON;
+        Duration retryAfter = RETRY_SOON;
+        if (m_context.members.count() > 1) {
+            retryAfter = found.isFinal ? std::max<Duration>(RETRY_LATER, m_request.endsAt() - now) : Duration(RETRY_LATER);
+        }
         giveUp(GiveUpCause::UnknownOrigin, {}, retryAfter, actions);
         return actions;
     }
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -58,8 +58,8 @@
     RelayActions start(MonotonicTime now);
     /** Binds a stream to its origin. */
     void setOrigin(const StreamOrigin &origin);
-    /** @param origin no value if nobody can tell: a stream that has begun ends then */
-    RelayActions onOrigin(const std::optional<StreamOrigin> &origin, MonotonicTime now);
+    /** A stream that has begun ends if nobody can tell where. */
+    RelayActions onOrigin(const FoundOrigin &found, MonotonicTime now);
     RelayActions onStageFinished(std::size_t stage, const std::vector<PieceCompletion> &completions, MonotonicTime now);
     /** The issuer has answered or can't be asked; permits that it issued are known to the target registry. */
     RelayActions onPermits(MonotonicTime now);
--- a/src/libs/gateway/versionhistory.cpp
+++ b/src/libs/gateway/versionhistory.cpp
@@ -78,7 +78,7 @@
             since = std::max(since, version.lastListedAt);
         }
     }
-    return SoleVersion { *only, now - since };
+    return SoleVersion { *only, now - since, {} };
 }
 
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/versionhistory.h
+++ b/src/libs/gateway/versionhistory.h
@@ -11,7 +11,8 @@
 /** The only software version that targets of a service have run for some time. */
 struct SoleVersion {
     std::string softwareVersion;
-    Duration alone {}; ///< for which no target of another version was listed
+    Duration alone {};     ///< for which no target of another version was listed
+    MonotonicTime asOf {}; ///< targets that were published later may be missing
 
     /** Whether all streams that are not older than this began at this version. */
     bool hasBegunAllStreams(Duration maxStreamAge) const;
--- a/tests/auto/gateway/handoversimulation.cpp
+++ b/tests/auto/gateway/handoversimulation.cpp
@@ -252,7 +252,7 @@
                 [&](const HandOverRequest &handed) { handOver(job, handed); },
                 [&](const FindOrigin &) {
                     deliver(job, NETWORK_TIME, [this](RelayMachine &machine) {
-                        return machine.onOrigin(StreamOrigin { SERVICE, {} }, m_now);
+                        return machine.onOrigin({ StreamOrigin { SERVICE, {} } }, m_now);
                     });
                 },
                 [&](const ArmTimer &timer) {
--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -371,7 +371,7 @@
 {
     VersionFixture fixture;
     RelayMachine machine = fixture.stream(2, true);
-    const RelayActions last = machine.onOrigin(std::nullopt, START);
+    const RelayActions last = machine.onOrigin({}, START);
     BOOST_TEST(!find<SendRequest>(last));
     BOOST_REQUIRE(find<RefuseRequest>(last));
     BOOST_TEST(find<RefuseRequest>(last)->status == 503U);
@@ -382,13 +382,17 @@
 {
     VersionFixture fixture;
     RelayMachine lone = fixture.stream(2, true);
-    const RelayActions starting = lone.onOrigin(std::nullopt, START);
+    const RelayActions starting = lone.onOrigin({}, START);
     BOOST_TEST((find<RefuseRequest>(starting)->retryAfter.value() < seconds(1)));
     fixture.context.members.onGreeting({ VmId("vm2"), { "127.0.0.1", 9002 } }, {}, START);
     RelayMachine machine = fixture.stream(2, true);
     const Duration left = machine.request().endsAt() - START;
-    const RelayActions last = machine.onOrigin(std::nullopt, START);
+    const RelayActions last = machine.onOrigin({}, START);
     BOOST_TEST((find<RefuseRequest>(last)->retryAfter.value() >= left / 2));
+    // Another daemon may know more than one that is cut off from the others.
+    RelayMachine unheard = fixture.stream(2, true);
+    const RelayActions soon = unheard.onOrigin({ std::nullopt, false }, START);
+    BOOST_TEST((find<RefuseRequest>(soon)->retryAfter.value() < seconds(2)));
 }
 
 // Regression (review/2): a stream that had been handed over went on at any version after the daemon that relayed it was lost.
@@ -432,7 +436,7 @@
             const bool isKnown = version != "unknown";
             const std::optional<StreamOrigin> origin =
                 isKnown ? std::optional(StreamOrigin { ServiceName("engine"), version }) : std::nullopt;
-            const RelayActions next = machine.onOrigin(origin, START);
+            const RelayActions next = machine.onOrigin({ origin }, START);
             BOOST_TEST((!isKnown || sentVersion(next) == version));
             // What has no events yet may begin anywhere.
             BOOST_TEST((isKnown || (find<SendRequest>(next) != nullptr) != hasEvents));
@@ -449,7 +453,7 @@
     BOOST_TEST(!find<SendRequest>(first));
     BOOST_REQUIRE(find<FindOrigin>(first));
     BOOST_TEST((find<FindOrigin>(first)->stream == RequestId("first-request")));
-    const RelayActions other = machine.onOrigin(StreamOrigin { ServiceName("desk"), "v1" }, START);
+    const RelayActions other = machine.onOrigin({ StreamOrigin { ServiceName("desk"), "v1" } }, START);
     BOOST_TEST(!find<SendRequest>(other));
     BOOST_TEST(find<RefuseRequest>(other));
 }
--- a/tests/auto/platform/tst_storewatcher.cpp
+++ b/tests/auto/platform/tst_storewatcher.cpp
@@ -67,6 +67,54 @@
         run([this] { m_store.restoreCopy(); });
     }
 
+    void removeTarget(const std::string &id)
+    {
+        Loopback::Client client(m_server.http().port());
+        client.send("DELETE /items/servers/" + id + " HTTP/1.1\r\nHost: test\r\n\r\n");
+        client.read();
+    }
+
+    /** Cuts the next watch that waits, and removes the target at the same time. */
+    void cutWatchAndRemove(const std::string &id)
+    {
+        run([this] { m_cutsWatch = true; });
+        while (isCutPending()) {
+            std::this_thread::sleep_for(10ms);
+        }
+        removeTarget(id);
+    }
+
+    /** Waits until a change after this revision has been applied, and tells whether the target was dropped with it. */
+    bool isDroppedAfter(std::int64_t revision, const std::string &id)
+    {
+        bool isDropped = false;
+        bool isApplied = false;
+        for (int attempt = 0; attempt < 500 && !isApplied; ++attempt) {
+            std::this_thread::sleep_for(10ms);
+            run([&] {
+                isApplied = m_catalogue.revision() > revision;
+                isDropped = m_known.count(id) == 0;
+            });
+        }
+        return isApplied && isDropped;
+    }
+
+    std::int64_t revision()
+    {
+        std::int64_t known = 0;
+        run([&] { known = m_catalogue.revision(); });
+        return known;
+    }
+
+    /** Publishes a target at the same moment as the daemon asks for the newest state. */
+    bool isKnownWhenUpToDate(const std::string &id)
+    {
+        publishTarget(id);
+        std::promise<bool> result;
+        run([&] { m_watcher.bringUpToDate([&](bool isCurrent) { result.set_value(isCurrent && m_known.count(id) > 0); }); });
+        return result.get_future().get();
+    }
+
     bool isKnown(const std::string &id)
     {
         bool known = false;
@@ -98,6 +146,8 @@
         for (const Gateway::CatalogueChange &change : changes) {
             if (const auto *adopted = std::get_if<Gateway::TargetAdopted>(&change)) {
                 m_known.insert(adopted->record.id.value());
+            } else if (const auto *dropped = std::get_if<Gateway::TargetDropped>(&change)) {
+                m_known.erase(dropped->id.value());
             }
         }
     }
@@ -106,6 +156,9 @@
     {
         if (StandIns::PublishedStore::isWrite(std::string(exchange->request().target()))) {
             m_store.write(exchange);
+        } else if (m_cutsWatch && isWaitingWatch(exchange)) {
+            m_cutsWatch = false;
+            exchange->abortAfterQueued();
         } else if (m_sendsSlowly && exchange->request().target().find("watch") != std::string_view::npos) {
             exchange->startStream({ 200, "application/json", {}, {} });
             sendPart(exchange, 0);
@@ -114,6 +167,19 @@
         }
     }
 
+    bool isCutPending()
+    {
+        bool isPending = false;
+        run([&] { isPending = m_cutsWatch; });
+        return isPending;
+    }
+
+    static bool isWaitingWatch(const Net::HttpExchangePointer &exchange)
+    {
+        const auto target = exchange->request().target();
+        return target.find("watch") != std::string_view::npos && target.find("waitMs=0") == std::string_view::npos;
+    }
+
     // Ten parts, 300 ms apart: one changed target.
     void sendPart(const Net::HttpExchangePointer &exchange, int part)
     {
@@ -142,6 +208,7 @@
     std::set<std::string> m_known;
     StoreWatcher m_watcher;
     bool m_sendsSlowly;
+    bool m_cutsWatch = false;
 };
 
 } // namespace
@@ -184,3 +251,29 @@
     WatchedStore store(true);
     BOOST_TEST(store.waitUntilKnown("slow"));
 }
+
+// Regression (review/5): after the store had cut a watch, targets that left received requests for two more seconds.
+BOOST_AUTO_TEST_CASE(removalAfterACutWatchIsNotDelayed)
+{
+    WatchedStore store;
+    store.publishTarget("one");
+    BOOST_REQUIRE(store.waitUntilKnown("one"));
+    for (const std::string id : { "two", "three" }) {
+        store.publishTarget(id);
+        BOOST_REQUIRE(store.waitUntilKnown(id));
+        const std::int64_t revision = store.revision();
+        store.cutWatchAndRemove(id);
+        BOOST_TEST(store.isDroppedAfter(revision, id));
+    }
+}
+
+// Regression (review/3): what a daemon knew of the store was up to two seconds old, and taken for what there was.
+BOOST_AUTO_TEST_CASE(catalogueIsUpToDateWhenAskedFor)
+{
+    WatchedStore store;
+    store.publishTarget("first");
+    BOOST_REQUIRE(store.waitUntilKnown("first"));
+    for (int number = 0; number < 10; ++number) {
+        BOOST_TEST(store.isKnownWhenUpToDate("target-" + std::to_string(number)));
+    }
+}
