Refuse what may outlast a daemon that shuts down

An operator reported that requests which came late in the grace of a planned stop were passed on and cut at its end, among them some that may run once.

Cause: streams were accepted until five seconds before the end, however long they might last, and requests by the timeout of their route, which may be absent. With the grace of 8 s of the users' deployments, streams were accepted in the first two seconds only.

Change: canAcceptDuringShutdown() compares the time that the request itself may take, from its caller's deadline and the route's timeout, with what is left. The rest is refused at once, with the time to come back elsewhere.

--- a/src/app/gateway/requestdispatcher.cpp
+++ b/src/app/gateway/requestdispatcher.cpp
@@ -95,15 +95,6 @@
             exchange, head, { STATUS_UNAUTHORIZED, std::nullopt, "the key is unknown; send a key of your organisation as bearer token" });
         return;
     }
-    const std::optional<Shutdown> &shutdown = m_services.shutdown;
-    if (shutdown && !Gateway::canAcceptDuringShutdown(*route, std::chrono::steady_clock::now() - shutdown->startedAt, shutdown->duration)) {
-        if (from) {
-            decline(exchange, head.id, VmId(from->vm), "this daemon is shutting down");
-        } else {
-            refuse(exchange, head, notRunRefusal(Gateway::GiveUpCause::ShuttingDown, Gateway::RETRY_ELSEWHERE));
-        }
-        return;
-    }
     Gateway::RelayRequest request;
     request.id = head.id;
     request.table = table;
@@ -123,6 +114,16 @@
         }
     }
     request.timeoutAt = route->timeout.count() > 0 ? request.arrivedAt + route->timeout : request.deadline;
+    const std::optional<Shutdown> &shutdown = m_services.shutdown;
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    if (shutdown && !Gateway::canAcceptDuringShutdown(route->kind, request.endsAt() - now, now - shutdown->startedAt, shutdown->duration)) {
+        if (from) {
+            decline(exchange, head.id, VmId(from->vm), "this daemon is shutting down");
+        } else {
+            refuse(exchange, head, notRunRefusal(Gateway::GiveUpCause::ShuttingDown, Gateway::RETRY_ELSEWHERE));
+        }
+        return;
+    }
     request.prompt = head.prompt;
     request.pieceCounts = head.pieceCounts;
     request.inputKey = head.inputKey;
--- a/tests/auto/gateway/tst_requestpolicies.cpp
+++ b/tests/auto/gateway/tst_requestpolicies.cpp
@@ -237,13 +237,25 @@
 // Regression (mix --seed 1066397404640): streams accepted five seconds after SIGTERM were cut off when the process exited.
 BOOST_AUTO_TEST_CASE(daemonShuttingDownAcceptsOnlyWhatItCanFinish)
 {
-    const Route stream = route(RouteKind::Stream);
-    Route call = route(RouteKind::Unsafe);
-    call.timeout = milliseconds(1200);
-    BOOST_TEST(canAcceptDuringShutdown(stream, seconds(1), milliseconds(7600)));
-    BOOST_TEST(!canAcceptDuringShutdown(stream, milliseconds(5400), milliseconds(7600)));
-    BOOST_TEST(canAcceptDuringShutdown(call, milliseconds(5400), milliseconds(7600)));
-    BOOST_TEST(!canAcceptDuringShutdown(call, milliseconds(7000), milliseconds(7600)));
+    const milliseconds total(7600);
+    BOOST_TEST(canAcceptDuringShutdown(RouteKind::Stream, seconds(15), seconds(1), total));
+    BOOST_TEST(!canAcceptDuringShutdown(RouteKind::Stream, seconds(15), milliseconds(5400), total));
+    BOOST_TEST(canAcceptDuringShutdown(RouteKind::Unsafe, milliseconds(1200), milliseconds(5400), total));
+    BOOST_TEST(!canAcceptDuringShutdown(RouteKind::Unsafe, milliseconds(1200), milliseconds(7000), total));
+}
+
+// Regression (report of an operator): requests that came late in the grace were passed on, and cut when the process exited. Streams were
+// taken until five seconds before that, however long they may last, and requests of routes without a timeout until the last moment.
+BOOST_AUTO_TEST_CASE(lateRequestThatMayOutlastTheDaemonIsRefused)
+{
+    for (const RouteKind kind : { RouteKind::Stream, RouteKind::Unsafe, RouteKind::Safe }) {
+        for (const milliseconds total : { milliseconds(7600), milliseconds(20'000), milliseconds(60'000) }) {
+            for (Duration elapsed = milliseconds(3100); elapsed < total; elapsed += milliseconds(100)) {
+                BOOST_TEST(!canAcceptDuringShutdown(kind, total - elapsed + milliseconds(1), elapsed, total));
+                BOOST_TEST(canAcceptDuringShutdown(kind, total - elapsed, elapsed, total));
+            }
+        }
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -5,6 +5,7 @@
 import json
 import random
 import re
+import signal
 import threading
 import time
 import zlib
@@ -35,14 +36,15 @@
      "priority": 0, "maxAttempts": 2, "resumable": True, "gapAimMs": 500},
     {"name": "count", "prefix": "/count/", "service": "counter", "kind": "safe", "timeoutMs": 8000, "targetLatencyMs": 300,
      "priority": 1, "maxAttempts": 2},
+    {"name": "sign", "prefix": "/sign/", "service": "office", "kind": "unsafe", "targetLatencyMs": 300, "priority": 0, "maxAttempts": 2},
 ]
 UNSAFE_ROUTES = {route["name"] for route in ROUTES if route["kind"] == "unsafe"}
 PIECES = {"slots": 1, "queue": 1, "batch": 8, "callMs": 20, "itemMs": 1, "headroomMb": ROOM * RESULT_BYTES / 1e6, "handleS": 10, "linkMbps": 1000}
 SERVICES = [{"name": "engine", "coldPerS": 5}, {"name": "desk", "coldPerS": 5}, {"name": "model", "coldPerS": 5},
-            {"name": "counter", "coldPerS": 5},
+            {"name": "counter", "coldPerS": 5}, {"name": "office", "coldPerS": 5},
             {"name": "encode", "coldPerS": 5, "pieces": PIECES}, {"name": "retrieve", "coldPerS": 5, "pieces": PIECES}]
 PIECES_WANTED = {"draft": "2,3"}
-TARGET_OPTIONS = {"engine": ("--streams", "--tokens", EVENTS), "desk": (),
+TARGET_OPTIONS = {"engine": ("--streams", "--tokens", EVENTS), "model": ("--streams", "--tokens", EVENTS), "desk": (), "office": (),
                   "encode": ("--room", ROOM, "--result-ms", PIECES["handleS"] * 1000, "--capacity", 1, "--queue", 1, "--service-ms", 20,
                              "--item-ms", 1),
                   "retrieve": ("--capacity", 1, "--queue", 1, "--service-ms", 20, "--item-ms", 1)}
@@ -117,13 +119,15 @@
         self.items = {}
         self.target_links = None
         self.own_stores = {}  # of gateways with relays of their own: (port of the store, address of the relays), by name
+        self.store_processes = {}  # by name of the gateway
+        self.silent_stores = {}  # what is to be written when they answer again, by name of the gateway
         self.template = (self.build.parent / "platform/settings.template").read_text()
 
     def put_item(self, key, document):
         self.items[key] = document
         self._put(self.platform_port, key, document)
-        for port, relay_address in self.own_stores.values():
-            self._put(port, key, self._behind_relay(document, relay_address))
+        for name, (port, relay_address) in self.own_stores.items():
+            self._write(name, lambda port=port, item=self._behind_relay(document, relay_address): self._put(port, key, item))
 
     @staticmethod
     def _put(port, key, document):
@@ -138,9 +142,30 @@
 
     def remove_item(self, key):
         self.items.pop(key, None)
-        for port in [self.platform_port, *(port for port, _ in self.own_stores.values())]:
-            status, answer = http_json(port, "DELETE", f"/items/{key}")
-            assert status == 200, answer
+        self._delete(self.platform_port, key)
+        for name, (port, _) in self.own_stores.items():
+            self._write(name, lambda port=port: self._delete(port, key))
+
+    @staticmethod
+    def _delete(port, key):
+        status, answer = http_json(port, "DELETE", f"/items/{key}")
+        assert status == 200, answer
+
+    def _write(self, name, write):
+        if name in self.silent_stores:
+            self.silent_stores[name].append(write)
+        else:
+            write()
+
+    def silence_store(self, name):
+        """The store of a gateway with relays of its own keeps its connections and answers nothing."""
+        self.silent_stores[name] = []
+        self.store_processes[name].send_signal(signal.SIGSTOP)
+
+    def wake_store(self, name):
+        self.store_processes[name].send_signal(signal.SIGCONT)
+        for write in self.silent_stores.pop(name):
+            write()
 
     def publish_routes(self):
         self.version += 1
@@ -183,7 +208,7 @@
         """Relays between a gateway and all targets; a store of its own tells it their addresses."""
         self.target_links = self.target_links or TargetLinks()
         self.target_links.open(name, address, [target["port"] for target in self.targets])
-        self.start_process(f"store-{name}", [self.build / "tests/standins/standin-platform"])
+        self.store_processes[name] = self.start_process(f"store-{name}", [self.build / "tests/standins/standin-platform"])
         port = int(self.output_lines(f"store-{name}", 1)[0])
         self.own_stores[name] = (port, address)
         for key, document in self.items.items():
@@ -207,6 +232,10 @@
                        "drainMs": 2000, "configApplyMs": 2000}}))
         return path
 
+    def peak_memory_mb(self, name):
+        with open(f"/proc/{self.vms[name].process.pid}/status") as status:
+            return int(re.search(r"VmHWM:\s*(\d+) kB", status.read())[1]) / 1024
+
     def is_ready(self, vm):
         return vm.process.poll() is None and http_json(vm.ready_port, "GET", "/api/ready", address=vm.address)[0] == 200
 
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -6,9 +6,11 @@
 
 from crashloads import CrashLoad
 from cutload import CutLoad
+from endlesstargets import EndlessTargets
 from fleet import http_json, wait_until
 from fragiletargets import BAD_PROMPT, FragileTargets
 from gateways import KEY, UNSAFE_ROUTES, ResumedLoad, RoutedCall, RoutedLoad
+from lateload import LateLoad
 from scenario import COMPARE, Scenario
 
 
@@ -21,8 +23,11 @@
     def __init__(self, fleet):
         super().__init__(fleet)
         self.fragile = FragileTargets(fleet)
+        self.side_loads = []
+        self.late_load = None
 
     # start platform | start service NAME COUNT OPTIONS... | start fragile-service NAME COUNT WAY,... | start gateways COUNT
+    # start endless-service NAME COUNT head|body | start side-load ROUTE RATE
     # start load ROUTE RATE | start resumed-load RATE [half-unnamed] | start crash-load ROUTE RATE
     # start gateways-behind-relays COUNT | start cut-load ROUTE,... RATE
     def verb_start(self, what, *words):
@@ -33,6 +38,10 @@
             self.fleet.start_service(words[0], int(words[1]), words[2:])
         elif what == "fragile-service":
             self.fragile.start_service(words[0], int(words[1]), words[0] in STREAMING_SERVICES, words[2].split(","))
+        elif what == "endless-service":
+            EndlessTargets(self.fleet, words[0], int(words[1]), words[2])
+        elif what == "side-load":
+            self.side_loads.append(RoutedLoad(self.fleet, words[0], float(words[1])))
         elif what == "crash-load":
             self.load = CrashLoad(self.fleet, self.fragile, words[0], float(words[1]))
         elif what == "gateways":
@@ -147,6 +156,23 @@
         wait_until(lambda: vm.process.poll() is not None, f"{name} has ended")
         assert vm.process.returncode == 0, f"{name} ended with {vm.process.returncode}"
 
+    # shut-down-late VM ROUTE,... RATE PATIENCE_MS: callers go on sending until the process has ended
+    def verb_shut_down_late(self, name, routes, rate, patience_ms):
+        vm = self.fleet.vms[name]
+        self.late_load = LateLoad(vm, routes.split(","), float(rate), int(patience_ms))
+        vm.process.send_signal(signal.SIGTERM)
+        self.late_load.run()
+        assert vm.process.returncode == 0, f"{name} ended with {vm.process.returncode}"
+
+    # silence-store VM,...: the stores of these gateways, which have relays of their own, answer nothing | wake-store VM,...
+    def verb_silence_store(self, names):
+        for name in names.split(","):
+            self.fleet.silence_store(name)
+
+    def verb_wake_store(self, names):
+        for name in names.split(","):
+            self.fleet.wake_store(name)
+
     # rewrite-settings VM SHUTDOWN_S: the file changes without a signal
     def verb_rewrite_settings(self, name, shutdown_s):
         self.fleet.write_settings(self.fleet.vms[name], int(shutdown_s))
@@ -197,6 +223,16 @@
         seen = self.load.counts
         return seen["finished"] * 2 >= seen["takenUp"] >= 12, seen
 
+    # late-cut OPERATOR COUNT: requests that came late in a shutdown, reached a target, and ended without its answer
+    def condition_late_cut(self, operator, count):
+        seen = self.late_load.cut(self.fleet.runs())
+        return COMPARE[operator](len(seen), int(count)), (len(seen), len(self.late_load.ends), seen[:3])
+
+    # memory VM,... OPERATOR MB: the most that the processes have had resident
+    def condition_memory(self, names, operator, megabytes):
+        seen = {name: self.fleet.peak_memory_mb(name) for name in names.split(",")}
+        return all(COMPARE[operator](memory, float(megabytes)) for memory in seen.values()), seen
+
     # status REQUEST OPERATOR STATUS: of its last sending
     def condition_status(self, request, operator, status):
         call = self.calls[request][-1]
