Let responses that are buffered share one limit of memory

An operator reported that a faulty runner sent bytes that were no answer without end, and that the machine which had called it ran out of memory. Heads are cut at 64 kB and were no part of it.

Change: all responses that a daemon buffers share 32 MB (ResponseBuffers). A response may grow while it is shorter than what is left, so the longest ones are cut off when memory gets short and short ones always find room. Responses to stage calls may have 1 MB instead of 32.

--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -17,7 +17,8 @@
 constexpr std::chrono::milliseconds DISPATCH_INTERVAL { 25 }; // about a tenth of the duration of a stage call
 constexpr std::chrono::milliseconds FREE_BATCH_DELAY { 10 };  // batches several requests; 30 ms kept result memory occupied for too long
 constexpr std::chrono::milliseconds FREE_TIMEOUT { 1000 };
-constexpr std::size_t MAX_DEFERRED_FREES = 1000; // by target; its other results lapse
+constexpr std::size_t MAX_CALL_RESPONSE_BYTES = 1024 * 1024; // a handle of some 50 bytes for each of at most some hundred pieces
+constexpr std::size_t MAX_DEFERRED_FREES = 1000;             // by target; its other results lapse
 // Bounds the work for reports at an owner that answers hundreds of orders per second; less than a tenth of a stage call.
 constexpr std::chrono::milliseconds LOAD_REPORT_INTERVAL { 20 };
 constexpr int MAX_RANK_LABEL = 7;                                  // of metrics; higher ranks share it
@@ -629,6 +630,7 @@
     Net::HttpCallRequest request = toCallRequest(call.target.endpoint, m_port.stageRequest(call, now));
     request.deadline = call.timeoutAt;
     request.maxIdleConnections = m_targets.maxIdleConnections(service);
+    request.maxBodyBytes = MAX_CALL_RESPONSE_BYTES;
     struct Reply {
         Gateway::StageCall call;
         Gateway::TargetResponse response;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -31,6 +31,7 @@
 #include "relayaction.h"
 #include "relaymachine.h"
 #include "relayrequest.h"
+#include "responsebuffers.h"
 #include "resultmemorytracker.h"
 #include "retrybudget.h"
 #include "returnschedule.h"
--- a/src/libs/gateway/relaymachine.cpp
+++ b/src/libs/gateway/relaymachine.cpp
@@ -111,6 +111,7 @@
     , m_context(context)
     , m_plan(m_request.route->stages, m_request.pieceCounts)
     , m_orderedAt(m_plan.size())
+    , m_buffer(context.responseBuffers)
 {
     if (m_request.handover) {
         m_attemptsElsewhere = m_request.handover->attempts;
@@ -311,14 +312,14 @@
     }
     if (!forwardsEvents()) {
         m_attempt->body.append(bytes);
-        if (m_attempt->body.size() > MAX_BUFFERED_RESPONSE_BYTES) {
+        if (m_attempt->body.size() > MAX_BUFFERED_RESPONSE_BYTES || !mayBuffer(m_attempt->body.size())) {
             actions.emplace_back(CancelAttempt { attempt });
             onResponseLost(GiveUpCause::InvalidResponse, "the answer is too long", actions, now);
         }
         return actions;
     }
     std::string events = m_framer.add(bytes);
-    if (m_framer.partialEventBytes() > MAX_EVENT_BYTES) {
+    if (m_framer.partialEventBytes() > MAX_EVENT_BYTES || !mayBuffer(m_framer.partialEventBytes())) {
         actions.emplace_back(CancelAttempt { attempt });
         onResponseLost(GiveUpCause::InvalidResponse, "an event is too long", actions, now);
         return actions;
@@ -516,6 +517,11 @@
     return m_request.route->kind == RouteKind::Stream && m_attempt->head->status == STATUS_OK;
 }
 
+bool RelayMachine::mayBuffer(std::size_t bytes)
+{
+    return m_buffer.setBytes(bytes + (m_fallback ? m_fallback->body.size() : 0));
+}
+
 // A daemon that was lost before its first event arrived here may have recorded an origin. Another one would contradict that record.
 bool RelayMachine::lacksOrigin() const
 {
@@ -1045,6 +1051,7 @@
         reportPlacementEnd(result);
     }
     m_attempt.reset();
+    mayBuffer(0);
 }
 
 // A target that may have read parts of the prompt before says nothing about its pace with the time to its first event.
@@ -1124,6 +1131,7 @@
     if (isFailure && m_request.route->isRepeatable() && tryAcquireRetry(now)) {
         logDecision(actions, "retrying on another target", "status=" + std::to_string(head.status));
         m_fallback = Fallback { std::move(head), std::move(body) };
+        mayBuffer(0);
         send(actions, now);
         return;
     }
--- a/src/libs/gateway/relaymachine.h
+++ b/src/libs/gateway/relaymachine.h
@@ -7,6 +7,7 @@
 #include "reachabilitytracker.h"
 #include "refusal.h"
 #include "relayaction.h"
+#include "responsebuffers.h"
 #include "retrybudget.h"
 #include "schedulingoptions.h"
 #include "serviceload.h"
@@ -31,6 +32,7 @@
     SchedulingOptions scheduling {};
     ServiceLoadBoard serviceLoads {};
     PlacementReports placementReports {};
+    ResponseBuffers responseBuffers {};
 };
 
 /** Why an attempt ended without a complete response. */
@@ -106,6 +108,8 @@
     bool isCurrent(AttemptNumber attempt) const;
     bool isAllowedAgain(const TargetRecord &target) const;
     bool forwardsEvents() const;
+    /** @param bytes of the current response. Returns false if it has become too long. */
+    bool mayBuffer(std::size_t bytes);
     /** Whether the stream may have begun at a version that is not known here. */
     bool lacksOrigin() const;
     void findOrigin(RelayActions &actions) const;
@@ -179,6 +183,7 @@
     std::set<TargetId> m_avoidedTargets; ///< targets that later attempts avoid: tried or unreachable
     RunState m_runState = RunState::NotRun;
     std::optional<Fallback> m_fallback;
+    ResponseBuffer m_buffer; ///< taken by the current response and the fallback
     EventFramer m_framer;
     std::optional<std::string> m_softwareVersion; ///< version of all targets of a resumable stream, once the first one is chosen
     std::optional<TargetId> m_permitTarget;       ///< target for which permits were requested, until a target is chosen
