Do not end a watch of the stand-in store twice

A timer that had expired just as a change ended its watch used the entry of the watch after it was gone; the stand-in then ended, seen once in scenario-gateway-out-of-step after a store had stood still.

--- a/tests/standins/publishedstore.cpp
+++ b/tests/standins/publishedstore.cpp
@@ -161,8 +161,9 @@
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, wait);
     m_watches.push_back({ prefix, after, exchange, timer });
     const auto waiting = std::prev(m_watches.end());
-    timer->async_wait([this, waiting](const boost::system::error_code &error) {
-        if (error) {
+    // The timer may have expired just as a change ended the watch.
+    timer->async_wait([this, waiting, weak = std::weak_ptr(timer)](const boost::system::error_code &error) {
+        if (error || weak.expired()) {
             return;
         }
         respondChanges(waiting->exchange, "[]");
