--- a/tests/scenarios/endlesstargets.py
+++ b/tests/scenarios/endlesstargets.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import itertools
-import re
 import threading
 
 from fleet import DOMAINS, free_port
+from gateways import request_id_of, stamped_head
 
 CHUNK = b"x" * 65536
 CHUNK_PAUSE_S = 0.1
@@ -33,11 +33,10 @@
     async def _serve(self, name, reader, writer):
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            request_id = re.search(r"X-Cassiarelay-Request-Id: (\S+)", head, re.I)
+            request_id = request_id_of(head)
             writer.write(b"HTTP/1.1 200 OK\r\n")
             if self._part == "body" and request_id:
-                writer.write(f"X-Cassiarelay-Request-Id: {request_id[1]}\r\nX-Cassiarelay-Response-Stamp: {name}.{request_id[1]}\r\n"
-                             "Content-Type: text/event-stream\r\n\r\n".encode())
+                writer.write(stamped_head(name, request_id).encode())
             while True:
                 writer.write(LINE if self._part == "head" else CHUNK)
                 await writer.drain()
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -259,6 +259,18 @@
     connection.request("POST", f"/{route}/x", json.dumps({"prompt": prompt}), headers)
 
 
+def request_id_of(head):
+    """The id in the head of a request that a gateway has sent to a target."""
+    found = re.search(r"X-Cassiarelay-Request-Id: (\S+)", head, re.I)
+    return found and found[1]
+
+
+def stamped_head(instance, request_id):
+    """Fields of the response of a target, without a length."""
+    return (f"X-Cassiarelay-Request-Id: {request_id}\r\nX-Cassiarelay-Response-Stamp: {instance}.{request_id}\r\n"
+            "Content-Type: text/event-stream\r\n\r\n")
+
+
 def judge(response, text, request_id, prompt):
     """answered, refused (a promise that nothing ran), failed, or wrong."""
     if response.status in (429, 503, 408, 421):
