--- a/tests/auto/gateway/tst_relaymachine.cpp
+++ b/tests/auto/gateway/tst_relaymachine.cpp
@@ -696,6 +696,22 @@
     BOOST_TEST(running.onShutdown(START).empty());
 }
 
+// What an endless response has taken must be free again when its request ends.
+BOOST_AUTO_TEST_CASE(requestThatEndsFreesItsBuffer)
+{
+    Fixture fixture;
+    fixture.context.responseBuffers = ResponseBuffers(100'000);
+    RelayMachine machine = fixture.machine(route(RouteKind::Unsafe));
+    const AttemptNumber attempt = sentAttempt(machine.start(START));
+    machine.onHead(attempt, head(200), START);
+    machine.onBody(attempt, std::string(40'000, 'x'), START);
+    BOOST_TEST(fixture.context.responseBuffers.bytes() == 40'000U);
+    BOOST_TEST(!machine.isFinished());
+    machine.onBody(attempt, std::string(40'000, 'x'), START);
+    BOOST_TEST(machine.isFinished());
+    BOOST_TEST(fixture.context.responseBuffers.bytes() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(callerDisconnectCancelsTheAttempt)
 {
     Fixture fixture;
--- a/tests/auto/gateway/tst_responsebuffers.cpp
+++ b/tests/auto/gateway/tst_responsebuffers.cpp
@@ -1,4 +1,4 @@
-#include "samples.h"
+#include <gateway/gateway.h>
 
 #include <boost/test/unit_test.hpp>
 
@@ -6,7 +6,6 @@
 
 using namespace CassiaRelay;
 using namespace CassiaRelay::Gateway;
-using namespace CassiaRelay::Gateway::Samples;
 
 BOOST_AUTO_TEST_SUITE(responsebuffers)
 
@@ -49,41 +48,4 @@
     BOOST_TEST(alone.setBytes(8U * 1024 * 1024));
 }
 
-// What an endless response has taken must be free again when its request ends.
-BOOST_AUTO_TEST_CASE(requestThatEndsFreesItsBuffer)
-{
-    TargetRegistry targets { {}, {}, 1 };
-    targets.put(target("t0", "engine"), START);
-    RetryBudget retries { { 0.2, 1000, seconds(10) } };
-    CrashTracker crashes;
-    StageLatencyEstimator stageLatency;
-    ReachabilityTracker reachability;
-    Members members { VmId("vm-0"), {} };
-    RelayContext context { targets, retries, crashes, stageLatency, reachability, members, 1 };
-    context.responseBuffers = ResponseBuffers(100'000);
-    Configuration configuration;
-    configuration.version = 1;
-    configuration.routes = { route(RouteKind::Unsafe) };
-    RelayRequest request;
-    request.table = std::make_shared<const RouteTable>(configuration);
-    request.route = request.table->route("host.example", "/jobs/x");
-    request.id = RequestId("request-1");
-    request.service = ServiceName("engine");
-    request.arrivedAt = START;
-    request.deadline = START + seconds(15);
-    request.timeoutAt = START + seconds(10);
-    RelayMachine machine(request, context);
-    machine.start(START);
-    ResponseHead head;
-    head.status = 200;
-    head.isStamped = true;
-    machine.onHead(1, head, START);
-    machine.onBody(1, std::string(40'000, 'x'), START);
-    BOOST_TEST(context.responseBuffers.bytes() == 40'000U);
-    BOOST_TEST(!machine.isFinished());
-    machine.onBody(1, std::string(40'000, 'x'), START);
-    BOOST_TEST(machine.isFinished());
-    BOOST_TEST(context.responseBuffers.bytes() == 0U);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
