--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -33,6 +33,7 @@
           "recoverS": 12, "passMs": 120, "againS": 10}
 MEMORY_MB = 260
 PAGE_ITEMS = 500
+PAGE_BYTES = 1 << 20
 HISTORY_S = 20
 RESTART_DELAY_S = 0.5
 LONGEST_S = 110
@@ -176,7 +177,10 @@
                 while self.down == "silent":
                     await asyncio.sleep(0.05)
                 await asyncio.sleep(0.004)
-                status, document = await self.call(head.first.split(" ")[1])
+                words = head.first.split(" ")
+                status, document = await self.call(words[1]) if len(words) == 3 else (400, {"error": "no request line"})
+                if status != 200:
+                    self.record.line(f"store: {status} to {head.first}")
                 fields = {"Content-Type": "application/json"}
                 if self.era is not None:
                     fields["Store-Era"] = str(self.era)
@@ -194,8 +198,13 @@
         prefix, after = fields.get("prefix", ""), fields.get("after", "")
         if path == "/api/kv-range":
             keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-            return 200, {"items": [self._item(key) for key in keys[:PAGE_ITEMS]], "currentRev": self.revision,
-                         "truncated": len(keys) > PAGE_ITEMS}
+            page, size = [], 0
+            for key in keys[:PAGE_ITEMS]:
+                page.append(self._item(key))
+                size += len(page[-1]["value"])
+                if size >= PAGE_BYTES:
+                    break
+            return 200, {"items": page, "currentRev": self.revision, "truncated": len(page) < len(keys)}
         if path == "/api/kv-key":
             key = fields.get("key", "")
             return (200, dict(self._item(key), currentRev=self.revision)) if key in self.items else (404, {"error": "none"})
