--- a/review/lib-2/cell.py
+++ b/review/lib-2/cell.py
@@ -34,7 +34,7 @@
 MEMORY_MB = 260
 PAGE_ITEMS = 500
 PAGE_BYTES = 1 << 20
-HISTORY_S = 20
+ANSWER_S = 0.004  # of the store
 RESTART_DELAY_S = 0.5
 LONGEST_S = 110
 # Exit statuses; those of Python itself, as 1 for an exception, must not count as a result.
@@ -107,18 +107,14 @@
 
 
 class Store:
-    """The platform's store as gateways see it: items, pages, watches, a history that may be dropped, and copies."""
+    """The platform's store as gateways see it: items, pages and watches."""
 
     def __init__(self, record):
         self.record = record
         self.items = {}  # key: (value bytes, revision, created)
         self.revision = 100
-        self.events = []  # (revision, event, time)
-        self.oldest = 100  # watches from before this revision get 410
-        self.era = None
+        self.events = []  # (revision, event)
         self.changed = asyncio.Event()
-        self.down = None  # None, or "silent"
-        self.writers = set()
         self.port = None
 
     async def start(self):
@@ -139,7 +135,7 @@
         self._event({"key": key, "revision": self.revision, "removed": True})
 
     def _event(self, event):
-        self.events.append((self.revision, event, time.monotonic()))
+        self.events.append((self.revision, event))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -147,49 +143,21 @@
         data, revision, created = self.items[key]
         return {"key": key, "value": base64.b64encode(data).decode(), "revision": revision, "createdRev": created, "lease": 0}
 
-    def copy(self):
-        """A copy of what the store holds now, for restore()."""
-        return dict(self.items), self.revision
-
-    def forget_history(self):
-        """Drops the history; waiting watches are cut."""
-        self.oldest = self.revision
-        self.events = []
-        self._cut()
-
-    def restore(self, copy):
-        """Comes back from a copy: newer writes are gone, revisions are given out again, and the era rises."""
-        items, revision = copy
-        self.items, self.revision = dict(items), revision
-        self.events = [event for event in self.events if event[0] <= revision]
-        self.era = (self.era or 1) + 1
-        self._cut()
-
-    def _cut(self):
-        for writer in list(self.writers):
-            writer.transport.abort()
-
     async def serve(self, reader, writer):
-        self.writers.add(writer)
         try:
             while True:
                 head, _ = await read_message(reader)
-                while self.down == "silent":
-                    await asyncio.sleep(0.05)
-                await asyncio.sleep(0.004)
+                await asyncio.sleep(ANSWER_S)
                 words = head.first.split(" ")
                 status, document = await self.call(words[1]) if len(words) == 3 else (400, {"error": "no request line"})
                 if status != 200:
                     self.record.line(f"store: {status} to {head.first}")
-                fields = {"Content-Type": "application/json"}
-                if self.era is not None:
-                    fields["Store-Era"] = str(self.era)
+                fields = {"Content-Type": "application/json", "Store-Era": "1"}
                 writer.write(answer_bytes(status, fields, json.dumps(document).encode()))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             pass
         finally:
-            self.writers.discard(writer)
             writer.close()
 
     async def call(self, target):
@@ -212,9 +180,9 @@
             since = int(after)
             deadline = time.monotonic() + int(fields.get("waitMs", "0")) / 1000
             while True:
-                if since < self.oldest or since > self.revision:
-                    return 410, {"error": "this history is gone"}
-                found = [event for revision, event, _ in self.events if revision > since and event["key"].startswith(prefix)]
+                if since > self.revision:
+                    return 410, {"error": "no such revision"}
+                found = [event for revision, event in self.events if revision > since and event["key"].startswith(prefix)]
                 left = deadline - time.monotonic()
                 if found or left <= 0:
                     return 200, {"events": found, "currentRev": self.revision}
@@ -230,7 +198,6 @@
         self.name, self.zone, self.address = name, zone, address
         self.ports = {part: free_port(address) for part in ("front", "ready", "control")}
         self.process = None
-        self.ended = []  # times of ends by itself or by the platform
 
 
 class Cell:
@@ -254,14 +221,14 @@
         for index in range(count):
             self.gateways.append(Gateway(f"front-{index + 1}", ZONES[index % len(ZONES)], f"{network}.{index + 1}"))
 
-    def start_gateway(self, gateway, store_port=None):
+    def start_gateway(self, gateway):
         fields = {
             "node": gateway.name, "role": "gateway", "machineClass": "front", "serves": ["front", "control"], "ip": gateway.address,
             "zone": gateway.zone, "region": REGION, "zones": {zone: REGION for zone in ZONES},
             "listen": {part: f"{gateway.address}:{port}" for part, port in gateway.ports.items()},
             "seeds": [f"{other.address}:{other.ports['control']}" for other in self.gateways[:3]],
             "limits": {"cpuShare": 0.25, "cores": 1, "memoryMb": MEMORY_MB, "maxFds": 4200, "linkMbps": 1000.0, "diskMb": 0},
-            "bounds": BOUNDS, "platform": {"address": f"127.0.0.1:{store_port or self.store.port}"}}
+            "bounds": BOUNDS, "platform": {"address": f"127.0.0.1:{self.store.port}"}}
         path = pathlib.Path(self.work.name) / f"{gateway.name}.json"
         path.write_text(render(self.template, fields))
         command = [str(path) if word == "/etc/cassiarelay/node.json" else word for word in self.command]
@@ -295,18 +262,12 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             return False
 
-    def logs(self, gateway):
-        return (pathlib.Path(self.work.name) / f"{gateway.name}.log").read_text(errors="replace")
-
     def close(self):
         for gateway in self.gateways:
             if gateway.process and gateway.process.poll() is None:
                 gateway.process.send_signal(signal.SIGCONT)
                 gateway.process.kill()
                 gateway.process.wait()
-        if os.environ.get("KEEP_LOGS"):
-            for gateway in self.gateways:
-                (pathlib.Path(os.environ["KEEP_LOGS"]) / f"{gateway.name}.log").write_text(self.logs(gateway))
         self.work.cleanup()
         self.record.close()
 
@@ -316,14 +277,13 @@
 
     numbers = itertools.count(1)
 
-    def __init__(self, cell, service, zone, behave, host="127.0.0.1", **entry):
-        self.cell, self.service, self.zone, self.behave, self.host = cell, service, zone, behave, host
+    def __init__(self, cell, service, zone, behave, **entry):
+        self.cell, self.service, self.zone, self.behave = cell, service, zone, behave
         self.entry = dict({"version": "v1", "slots": 48, "coldRemainingMs": 0}, **entry)
-        self.port = free_port(host)
+        self.port = free_port()
         self.server = None
         self.writers = set()
         self.id = None
-        self.state = "ready"
         self.is_down = False
 
     async def start(self):
@@ -331,17 +291,13 @@
         number = next(self.numbers)
         self.id = f"i-{number:04d}"
         self.born = int(time.time() * 1000) + number
-        self.server = await asyncio.start_server(self._serve, self.host, self.port, limit=1 << 20)
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=1 << 20)
         self.is_down = False
         self.publish()
 
-    def publish(self, state="ready"):
-        self.state = state
-        self.cell.store.put(f"servers/{self.id}", dict(self.entry, service=self.service, address=f"{self.host}:{self.port}", zone=self.zone,
-                                                       state=state, seq=1, born=self.born))
-
-    def withdraw(self):
-        self.cell.store.remove(f"servers/{self.id}")
+    def publish(self):
+        self.cell.store.put(f"servers/{self.id}", dict(self.entry, service=self.service, address=f"127.0.0.1:{self.port}", zone=self.zone,
+                                                       state="ready", seq=1, born=self.born))
 
     def stop_listening(self):
         self.is_down = True
