Refuse broken answers where all answers are read

The reset fails the write of the upload, and the system then reports no error to the read, which sees the end of the connection. They also got statuses 600 and 999, and bodies with the chunk headers in them when the transfer coding was not a single chunked; 101 was taken for an interim response.

Failed before: brokenAnswerIsNotTaken and brokenAnswerIsNotTakenOnAKeptConnection for nine forms (statuses 600 and 999, 101, xchunked, chunked with gzip after it, chunked twice, identity beside a length and alone, chunks in HTTP/1.0), and openAnswerToAnUploadThatWasNotReadIsNotWhole (12 MB, reset and close 50 ms after the answer). The other forms were refused before.

--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "httpclient.h"
 
+#include "messagechecks.h"
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -326,7 +328,12 @@
         if (m_done) {
             return;
         }
-        if (m_parser->get().result_int() < MIN_FINAL_STATUS) {
+        const auto &response = m_parser->get();
+        if (const std::optional<std::string> flaw = responseFlaw(response.result_int(), response.base(), response.version())) {
+            fail(CallFailure::Malformed, m_server + " sent a response that is none: " + *flaw);
+            return;
+        }
+        if (response.result_int() < MIN_FINAL_STATUS) {
             if (++m_interimResponses > MAX_INTERIM_RESPONSES) {
                 fail(CallFailure::Malformed, m_server + " sent only interim responses");
                 return;
@@ -334,17 +341,17 @@
             readHead();
             return;
         }
-        if (lacksId(m_parser->get())) {
+        if (lacksId(response)) {
             fail(CallFailure::Malformed, m_server + " sent a response that names no request");
             return;
         }
-        if (!isOurs(m_parser->get())) {
+        if (!isOurs(response)) {
             m_isForeign = true;
             readBody();
             return;
         }
         if (m_handlers.onHead) {
-            m_handlers.onHead({ m_parser->get().result_int(), m_parser->get().base(), m_parser->need_eof() });
+            m_handlers.onHead({ response.result_int(), response.base(), m_parser->need_eof() });
         }
         readBody();
     }
@@ -470,6 +477,11 @@
             skipForeignResponse();
             return;
         }
+        // When a reset fails the upload, the read after it only sees the end of the connection.
+        if (m_parser->need_eof() && !m_written) {
+            fail(CallFailure::ConnectionLost, m_server + " ended a response without length before it had read the request");
+            return;
+        }
         m_done = true;
         m_deadlineTimer.cancel();
         // Bytes after the response belong to none, and those of an unread request to the next: the connection is out of step.
--- a/tests/auto/net/tst_httpclient.cpp
+++ b/tests/auto/net/tst_httpclient.cpp
@@ -137,20 +137,178 @@
     std::thread m_thread;
 };
 
+/** How a server ends its connection. */
+enum class Ending { Close, Reset };
+
+/** Answers each connection with the same bytes, and then ends it. */
+class BrokenServer
+{
+public:
+    /**
+     * @param readsRequest false leaves the body of the request unread
+     * @param pause before the connection ends, so that the client reads what was sent first
+     */
+    BrokenServer(std::string answer, Ending ending, bool readsRequest, bool sendsByteByByte = false, std::chrono::milliseconds pause = 50ms)
+        : m_answer(std::move(answer))
+        , m_ending(ending)
+        , m_readsRequest(readsRequest)
+        , m_sendsByteByByte(sendsByteByByte)
+        , m_pause(pause)
+        , m_acceptor(m_context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , m_port(m_acceptor.local_endpoint().port())
+        , m_thread([this] { serve(); })
+    {
+    }
+    ~BrokenServer()
+    {
+        m_thread.join();
+    }
+    BrokenServer(const BrokenServer &) = delete;
+    BrokenServer &operator=(const BrokenServer &) = delete;
+
+    std::uint16_t port() const
+    {
+        return m_port;
+    }
+
+private:
+    void serve()
+    {
+        boost::asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket);
+        socket.set_option(boost::asio::ip::tcp::no_delay(true));
+        boost::system::error_code error;
+        boost::beast::flat_buffer buffer;
+        boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+        parser.body_limit(MAX_SENT_BYTES);
+        if (m_readsRequest) {
+            boost::beast::http::read(socket, buffer, parser, error);
+        } else {
+            boost::beast::http::read_header(socket, buffer, parser, error);
+        }
+        const std::size_t step = m_sendsByteByByte ? 1 : m_answer.size();
+        for (std::size_t position = 0; position < m_answer.size(); position += step) {
+            boost::asio::write(socket, boost::asio::buffer(m_answer.data() + position, step), error);
+        }
+        std::this_thread::sleep_for(m_pause);
+        if (m_ending == Ending::Reset) {
+            socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        }
+        socket.close(error);
+    }
+
+    std::string m_answer;
+    Ending m_ending;
+    bool m_readsRequest;
+    bool m_sendsByteByByte;
+    std::chrono::milliseconds m_pause; ///< before the connection ends
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::uint16_t m_port;
+    std::thread m_thread;
+};
+
+/** Bytes that are no answer for a client. */
+struct BrokenAnswer {
+    const char *name;
+    std::string bytes;
+};
+
+std::ostream &operator<<(std::ostream &stream, const BrokenAnswer &answer)
+{
+    return stream << answer.name;
+}
+
+std::string head(const std::string &statusLine, const std::string &fields)
+{
+    return statusLine + "\r\n" + fields + "\r\n";
+}
+
+std::string okHead(const std::string &fields)
+{
+    return head("HTTP/1.1 200 OK", fields);
+}
+
+const std::string LENGTH = "Content-Length: 2\r\n";
+const std::string CHUNKED = "Transfer-Encoding: chunked\r\n";
+const std::string CHUNKS = "2\r\nok\r\n0\r\n\r\n";
+
+const std::vector<BrokenAnswer> BROKEN_ANSWERS {
+    { "status 000", head("HTTP/1.1 000 X", LENGTH) + "ok" },
+    { "status 099", head("HTTP/1.1 099 X", LENGTH) + "ok" },
+    { "status 20", head("HTTP/1.1 20 X", LENGTH) + "ok" },
+    { "status 2000", head("HTTP/1.1 2000 X", LENGTH) + "ok" },
+    { "status -20", head("HTTP/1.1 -20 X", LENGTH) + "ok" },
+    { "status 600", head("HTTP/1.1 600 X", LENGTH) + "ok" },
+    { "status 999", head("HTTP/1.1 999 X", LENGTH) + "ok" },
+    { "no status", head("HTTP/1.1", LENGTH) + "ok" },
+    { "switch of protocols", head("HTTP/1.1 101 X", {}) + okHead(LENGTH) + "ok" },
+    { "another version", head("HTTP/2.0 200 OK", LENGTH) + "ok" },
+    { "blank in a name", okHead("X Field: 1\r\n" + LENGTH) + "ok" },
+    { "tab in a name", okHead("X\tField: 1\r\n" + LENGTH) + "ok" },
+    { "NUL in a name", okHead(std::string("X\0Field: 1\r\n", 12) + LENGTH) + "ok" },
+    { "control byte in a name", okHead("X\x01Field: 1\r\n" + LENGTH) + "ok" },
+    { "DEL in a name",
+      okHead("X\x7F"
+             "Field: 1\r\n"
+             + LENGTH)
+          + "ok" },
+    { "blank before the colon", okHead("X-Field : 1\r\n" + LENGTH) + "ok" },
+    { "no name", okHead(": 1\r\n" + LENGTH) + "ok" },
+    { "no colon", okHead("X-Field\r\n" + LENGTH) + "ok" },
+    { "NUL in a value", okHead(std::string("X-Field: a\0b\r\n", 14) + LENGTH) + "ok" },
+    { "control byte in a value",
+      okHead("X-Field: a\x01"
+             "b\r\n"
+             + LENGTH)
+          + "ok" },
+    { "bare CR in a value", okHead("X-Field: a\rb\r\n" + LENGTH) + "ok" },
+    { "bare LF in a value", okHead("X-Field: a\nb\r\n" + LENGTH) + "ok" },
+    { "two lengths", okHead(LENGTH + "Content-Length: 1\r\n") + "ok" },
+    { "list of lengths", okHead("Content-Length: 2, 1\r\n") + "ok" },
+    { "signed length", okHead("Content-Length: +2\r\n") + "ok" },
+    { "negative length", okHead("Content-Length: -1\r\n") + "ok" },
+    { "hexadecimal length", okHead("Content-Length: 0x2\r\n") + "ok" },
+    { "length and chunks", okHead(LENGTH + CHUNKED) + CHUNKS },
+    { "chunks and length", okHead(CHUNKED + LENGTH) + CHUNKS },
+    { "unknown coding", okHead("Transfer-Encoding: xchunked\r\n") + CHUNKS },
+    { "coding after chunked", okHead("Transfer-Encoding: chunked, gzip\r\n") + CHUNKS },
+    { "coding before chunked", okHead("Transfer-Encoding: gzip, chunked\r\n") + CHUNKS },
+    { "chunked twice", okHead(CHUNKED + CHUNKED) + CHUNKS },
+    { "identity beside a length", okHead("Transfer-Encoding: identity\r\n" + LENGTH) + "ok" },
+    { "identity", okHead("Transfer-Encoding: identity\r\n") + "ok" },
+    { "chunks in HTTP/1.0", head("HTTP/1.0 200 OK", CHUNKED) + CHUNKS },
+    { "body that is cut short", okHead("Content-Length: 3\r\n") + "ok" },
+    { "chunk that is cut short", okHead(CHUNKED) + "3\r\nok" },
+    { "chunks without the last one", okHead(CHUNKED) + "2\r\nok\r\n" },
+    { "chunks without the end of the trailer", okHead(CHUNKED) + "2\r\nok\r\n0\r\nX-Field: 1\r\n" },
+    { "odd name in the trailer", okHead(CHUNKED) + "2\r\nok\r\n0\r\nX Field: 1\r\n\r\n" },
+    { "chunk size that is no number", okHead(CHUNKED) + "2x\r\nok\r\n0\r\n\r\n" },
+};
+
 /** What became of a call. */
 struct CallEnd {
     std::string body;
     std::optional<Net::CallFailure> failure;
+    unsigned status = 0;
+    std::string field; ///< X-Field of the response
 };
 
 CallEnd call(Net::HttpClient &client, Net::HttpCallRequest request)
 {
     std::promise<CallEnd> end;
-    auto body = std::make_shared<std::string>();
+    auto seen = std::make_shared<CallEnd>();
     Net::HttpCallHandlers handlers;
-    handlers.onBody = [body](const std::string &part) { *body += part; };
-    handlers.onFinished = [&end, body] { end.set_value({ *body, std::nullopt }); };
-    handlers.onFailed = [&end, body](Net::CallFailure reason, const std::string &) { end.set_value({ *body, reason }); };
+    handlers.onHead = [seen](const Net::HttpCallHead &head) {
+        seen->status = head.status;
+        seen->field = std::string(head.fields["X-Field"]);
+    };
+    handlers.onBody = [seen](const std::string &part) { seen->body += part; };
+    handlers.onFinished = [&end, seen] { end.set_value(*seen); };
+    handlers.onFailed = [&end, seen](Net::CallFailure reason, const std::string &) {
+        seen->failure = reason;
+        end.set_value(*seen);
+    };
     request.address = "127.0.0.1";
     request.deadline = std::chrono::steady_clock::now() + 20s;
     client.send(std::move(request), std::move(handlers));
@@ -275,3 +433,111 @@
     BOOST_TEST((call(client, request).failure == Net::CallFailure::Withheld));
     BOOST_TEST(received == 0);
 }
+
+namespace {
+
+bool isBroken(const CallEnd &end)
+{
+    return end.failure == Net::CallFailure::Malformed || end.failure == Net::CallFailure::ConnectionLost;
+}
+
+CallEnd callOnce(const std::string &answer, Ending ending, bool sendsByteByByte = false)
+{
+    BrokenServer server(answer, ending, true, sendsByteByByte);
+    Context context;
+    Net::HttpClient client(context.get());
+    return call(client, namedRequest(server.port(), "first"));
+}
+
+} // namespace
+
+// Regression (issue 57): answers with an unknown status or framing were passed on as whole ones.
+BOOST_DATA_TEST_CASE(brokenAnswerIsNotTaken, boost::unit_test::data::make(BROKEN_ANSWERS), broken)
+{
+    for (const Ending ending : { Ending::Close, Ending::Reset }) {
+        BOOST_TEST(isBroken(callOnce(broken.bytes, ending)));
+        BOOST_TEST(isBroken(callOnce(broken.bytes, ending, true)));
+        BOOST_TEST(isBroken(callOnce("HTTP/1.1 103 Early Hints\r\nX-Field: 1\r\n\r\n" + broken.bytes, ending)));
+    }
+}
+
+BOOST_DATA_TEST_CASE(brokenAnswerIsNotTakenOnAKeptConnection, boost::unit_test::data::make(BROKEN_ANSWERS), broken)
+{
+    ScriptedServer server({ answer("first", "one"), broken.bytes });
+    Context context;
+    Net::HttpClient client(context.get());
+    BOOST_TEST(call(client, namedRequest(server.port(), "first")).body == "one");
+    Net::HttpCallRequest request = namedRequest(server.port(), "second");
+    request.expectsId = false;
+    BOOST_TEST(isBroken(call(client, request)));
+}
+
+// A head that stops is no answer, wherever it stops and however the connection ends.
+BOOST_AUTO_TEST_CASE(headThatStopsIsNotTaken)
+{
+    const std::string whole = okHead("X-Request-Id: first\r\nContent-Length: 0\r\n");
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        BOOST_TEST(isBroken(callOnce(whole.substr(0, size), Ending::Close)), "closed after " << size << " bytes");
+        BOOST_TEST(isBroken(callOnce(whole.substr(0, size), Ending::Reset)), "reset after " << size << " bytes");
+    }
+    BOOST_TEST(callOnce(whole, Ending::Close).status == 200U);
+}
+
+// Regression (issue 57): a long upload was answered before it had been read, without a length, and reset. The reset failed the upload, so
+// that the answer seemed to end as it should.
+BOOST_AUTO_TEST_CASE(openAnswerToAnUploadThatWasNotReadIsNotWhole)
+{
+    const std::string early = okHead("X-Request-Id: first\r\n") + std::string(21, 'x');
+    // The buffers of both sockets hold all of the first one.
+    for (const std::size_t uploadBytes : { 3'900'000, 12'000'000 }) {
+        for (const Ending ending : { Ending::Close, Ending::Reset }) {
+            for (const std::chrono::milliseconds pause : { 0ms, 0ms, 50ms }) {
+                BrokenServer server(early, ending, false, false, pause);
+                Context context;
+                Net::HttpClient client(context.get());
+                Net::HttpCallRequest request = namedRequest(server.port(), "first");
+                request.method = "POST";
+                request.body = std::string(uploadBytes, 'u');
+                BOOST_TEST((call(client, request).failure == Net::CallFailure::ConnectionLost),
+                           uploadBytes << " bytes, pause " << pause.count());
+            }
+        }
+    }
+}
+
+// An answer that says where it ends is whole, also when the server did not want the rest of the upload.
+BOOST_AUTO_TEST_CASE(earlyAnswerWithAnEndIsTaken)
+{
+    constexpr std::size_t UPLOAD_BYTES = 3'900'000;
+    for (const std::string &early : { okHead(LENGTH) + "ok", okHead(CHUNKED) + CHUNKS }) {
+        BrokenServer server(early, Ending::Close, false);
+        Context context;
+        Net::HttpClient client(context.get());
+        Net::HttpCallRequest request = namedRequest(server.port(), "first");
+        request.method = "POST";
+        request.body = std::string(UPLOAD_BYTES, 'u');
+        BOOST_TEST(call(client, request).body == "ok");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(openAnswerEndsWithItsConnection)
+{
+    BOOST_TEST(callOnce(okHead({}) + "ok", Ending::Close).body == "ok");
+    BOOST_TEST(!callOnce(okHead({}) + "ok", Ending::Close).failure.has_value());
+    BOOST_TEST(!callOnce(head("HTTP/1.0 200 OK", {}) + "ok", Ending::Close).failure.has_value());
+    BOOST_TEST(isBroken(callOnce(okHead({}) + "ok", Ending::Reset)));
+}
+
+// RFC 9112 5.2 allows a folded line to be refused or joined with blanks. It is joined: the server has run the request, and the field that
+// is passed on holds no line break.
+BOOST_AUTO_TEST_CASE(foldedLineIsJoined)
+{
+    const CallEnd end = callOnce(okHead("X-Field: a\r\n FOREIGN: y\r\n" + LENGTH) + "ok", Ending::Close);
+    BOOST_TEST(end.field == "a FOREIGN: y");
+    BOOST_TEST(end.body == "ok");
+}
+
+BOOST_AUTO_TEST_CASE(namesOfCodingsHaveNoCase)
+{
+    BOOST_TEST(callOnce(okHead("Transfer-Encoding: Chunked \r\n") + CHUNKS, Ending::Close).body == "ok");
+}
