Keep back requests that a text would break

A text from outside with a blank or a line break made two fields or two requests of one. Names of organisations and ids of events were not checked anywhere before.

HttpClient checks each request before its first byte (requestFlaw); one that can't be sent fails as not sent.

The tests name a path now, as every caller of the client does.

--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -267,6 +267,10 @@
         if (m_done) {
             return;
         }
+        if (const std::optional<std::string> flaw = requestFlaw(m_request)) {
+            fail(CallFailure::NotSent, "the request can't be sent: " + *flaw);
+            return;
+        }
         try {
             composeMessage();
         } catch (const std::exception &error) {
--- a/src/libs/net/messagechecks.cpp
+++ b/src/libs/net/messagechecks.cpp
@@ -14,6 +14,32 @@
 constexpr unsigned MIN_STATUS = 100;
 constexpr unsigned MAX_STATUS = 599;
 constexpr unsigned STATUS_SWITCHING_PROTOCOLS = 101;
+constexpr char DELETE = 0x7f;
+
+bool isControl(char character)
+{
+    return static_cast<unsigned char>(character) < ' ' || character == DELETE;
+}
+
+// The characters of a "token" (RFC 9110 5.6.2).
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view MARKS = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [MARKS](char character) {
+        return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+            || MARKS.find(character) != std::string_view::npos;
+    });
+}
+
+bool isRequestTarget(std::string_view text)
+{
+    return !text.empty() && std::none_of(text.begin(), text.end(), [](char character) { return isControl(character) || character == ' '; });
+}
+
+bool isFieldValue(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](char character) { return isControl(character) && character != '\t'; });
+}
 
 } // namespace
 
@@ -47,4 +73,23 @@
     return framingFlaw(fields, version);
 }
 
+std::optional<std::string> requestFlaw(const HttpCallRequest &request)
+{
+    if (!isToken(request.method)) {
+        return "the method is not a token";
+    }
+    if (!isRequestTarget(request.path)) {
+        return "the path has a blank or a control character";
+    }
+    for (const HttpField &field : request.fields) {
+        if (!isToken(field.name)) {
+            return "the name of a field is not a token";
+        }
+        if (!isFieldValue(field.value)) {
+            return "field " + field.name + " has a control character";
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace CassiaRelay::Net
--- a/src/libs/net/messagechecks.h
+++ b/src/libs/net/messagechecks.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "httpclient.h"
+
 #include <boost/beast/http/fields.hpp>
 
 #include <optional>
@@ -16,4 +18,7 @@
 /** Returns why a response with this head is none that a client may get; no value if there is no reason. */
 std::optional<std::string> responseFlaw(unsigned status, const boost::beast::http::fields &fields, unsigned version);
 
+/** Returns which text of the request would break its request line or header; no value if there is none. */
+std::optional<std::string> requestFlaw(const HttpCallRequest &request);
+
 } // namespace CassiaRelay::Net
--- a/tests/auto/net/tst_httpclient.cpp
+++ b/tests/auto/net/tst_httpclient.cpp
@@ -318,6 +318,7 @@
 Net::HttpCallRequest namedRequest(std::uint16_t port, const std::string &id)
 {
     Net::HttpCallRequest request;
+    request.path = "/";
     request.port = port;
     request.fields = { { "X-Request-Id", id } };
     request.expectsId = true;
@@ -340,6 +341,7 @@
     Net::HttpClient client(context.get());
     Net::HttpCallRequest request;
     request.address = "127.0.0.1";
+    request.path = "/";
     request.port = server.port();
     request.fields = { { "X-Request-Id", "mine" } };
     request.maxBodyBytes = MAX_BODY_BYTES;
@@ -541,3 +543,38 @@
 {
     BOOST_TEST(callOnce(okHead("Transfer-Encoding: Chunked \r\n") + CHUNKS, Ending::Close).body == "ok");
 }
+
+// Regression (review/7): a text with a blank broke the request line, and what followed it was read as another request.
+BOOST_AUTO_TEST_CASE(textThatWouldBreakTheHeadIsNotSent)
+{
+    std::atomic<int> received { 0 };
+    Loopback::Server server([&received](const Net::HttpExchangePointer &exchange) {
+        ++received;
+        Loopback::echo(exchange);
+    });
+    Context context;
+    Net::HttpClient client(context.get());
+    const auto isKept = [&](const std::string &method, const std::string &path, const HttpField &field) {
+        Net::HttpCallRequest request = namedRequest(server.http().port(), "first");
+        request.method = method;
+        request.path = path;
+        request.fields.push_back(field);
+        return call(client, request).failure == Net::CallFailure::NotSent;
+    };
+    const HttpField sound { "X-Field", "a\tb \xC3\xA9" };
+    for (const std::string path : { "/a b", "/a\r\nX: y", "/a\tb", "/a\x7F", "" }) {
+        BOOST_TEST(isKept("GET", path, sound), "path '" << path << "'");
+    }
+    for (const std::string method : { "GET /", "G\tT", "" }) {
+        BOOST_TEST(isKept(method, "/a", sound), "method '" << method << "'");
+    }
+    for (const std::string value : { "a\r\nX: y", "a\nb", "a\rb", "a\x01", "a\x7F" }) {
+        BOOST_TEST(isKept("GET", "/a", { "X-Field", value }), "value '" << value << "'");
+    }
+    for (const std::string name : { "X Field", "X-Field:", "X\r\nY", "" }) {
+        BOOST_TEST(isKept("GET", "/a", { name, "1" }), "name '" << name << "'");
+    }
+    BOOST_TEST(received == 0);
+    BOOST_TEST(!isKept("GET", "/a\xC3\xA9?b=%20", sound));
+    BOOST_TEST(received == 1);
+}
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -339,6 +339,29 @@
     BOOST_CHECK_THROW(ADAPTER.readStageResults(call, R"({"items":[{"handle":"h"}]})"), Error);
 }
 
+// Results go on in a list, in which a comma or a blank would make one handle into two.
+BOOST_AUTO_TEST_CASE(handleThatIsNoListItemIsNotTaken)
+{
+    StageCall call;
+    call.target.id = TargetId("i-1");
+    for (const std::string handle : { "10.1.64.7:8080/91bd", "a,b", "a b", "a\tb", "", "a\x7F" }) {
+        call.items.emplace_back();
+    }
+    const json body { { "items",
+                        { { { "handle", "10.1.64.7:8080/91bd" } },
+                          { { "handle", "a,b" } },
+                          { { "handle", "a b" } },
+                          { { "handle", "a\tb" } },
+                          { { "handle", "" } },
+                          { { "handle", "a\x7F" } } } } };
+    const std::vector<PieceOutcome> outcomes = ADAPTER.readStageResults(call, body.dump());
+    BOOST_REQUIRE(outcomes.size() == 6U);
+    BOOST_TEST(std::holds_alternative<StageResult>(outcomes[0]));
+    for (std::size_t index = 1; index < outcomes.size(); ++index) {
+        BOOST_TEST(std::holds_alternative<PieceFailure>(outcomes[index]), "handle " << index);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(leavingIsReadFromResponsesOfTheTarget)
 {
     const HttpField leaving { "Server-Leaving", "1" };
