Free results only at the target that made them

The request did not name its target, as stage calls do, was not kept back when the entry had changed, and any answer counted as a confirmation.

The request names the target, is withheld unless the target is still published as before and no other one has answered at its address, and only status 200 confirms; 421 marks the address. The stand-in refuses such a request and counts results of others.

--- a/src/app/gateway/piecebroker.cpp
+++ b/src/app/gateway/piecebroker.cpp
@@ -918,7 +918,6 @@
     m_peerClient.send(std::move(request), std::move(handlers));
 }
 
-// If the request fails, the target drops the results when their lifetime ends; until then, their memory counts as occupied.
 void PieceBroker::freeAtTargets(const std::vector<Gateway::StageResult> &results)
 {
     std::map<TargetId, std::vector<Gateway::StageResult>> byTarget;
@@ -970,18 +969,34 @@
     for (const Gateway::StageResult &result : results) {
         handles.push_back(result.handle);
     }
-    Net::HttpCallRequest request = toCallRequest(target.endpoint, m_port.freeRequest(handles));
+    Net::HttpCallRequest request = toCallRequest(target.endpoint, m_port.freeRequest(target.id, handles));
     nameCall(request);
+    request.mayLeave = [this, target] { return m_targets.isAtItsAddress(target, std::chrono::steady_clock::now()); };
     request.deadline = std::chrono::steady_clock::now() + FREE_TIMEOUT;
     request.maxIdleConnections = m_targets.maxIdleConnections(target.service);
+    const auto status = std::make_shared<unsigned>(0);
     Net::HttpCallHandlers handlers;
-    handlers.onFinished = [this, service = target.service, results] { onFreed(service, results); };
-    handlers.onFailed = [this, id = target.id](Net::CallFailure, const std::string &reason) {
-        m_log.write("results not freed", { { "target", id.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
+    handlers.onHead = [status](const Net::HttpCallHead &head) { *status = head.status; };
+    handlers.onFinished = [this, target, status, results] {
+        if (*status == STATUS_OK) {
+            onFreed(target.service, results);
+            return;
+        }
+        if (*status == STATUS_MISDIRECTED) {
+            m_targets.setMisdirected(target, std::chrono::steady_clock::now());
+        }
+        onNotFreed(target.id, "status " + std::to_string(*status));
     };
+    handlers.onFailed = [this, id = target.id](Net::CallFailure, const std::string &reason) { onNotFreed(id, reason); };
     m_targetClient.send(std::move(request), std::move(handlers));
 }
 
+// The target drops the results when their lifetime ends; until then, their memory counts as occupied.
+void PieceBroker::onNotFreed(const TargetId &target, const std::string &reason)
+{
+    m_log.write("results not freed", { { "target", target.value() }, { "reason", reason } }, std::chrono::steady_clock::now());
+}
+
 // Releases the memory only after the target has confirmed; a stage call that arrived before would be rejected for lack of memory.
 void PieceBroker::onFreed(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results)
 {
--- a/src/app/gateway/piecebroker.h
+++ b/src/app/gateway/piecebroker.h
@@ -143,6 +143,7 @@
                                  const std::vector<Gateway::StageResult> &results);
     void freeAtTargets(const std::vector<Gateway::StageResult> &results);
     void sendFree(const Gateway::TargetRecord &target, const std::vector<Gateway::StageResult> &results);
+    void onNotFreed(const TargetId &target, const std::string &reason);
     void onFreed(const Gateway::ServiceName &service, const std::vector<Gateway::StageResult> &results);
 
     Net::HttpClient &m_targetClient;
--- a/src/libs/gateway/platformport.h
+++ b/src/libs/gateway/platformport.h
@@ -88,7 +88,8 @@
     virtual PlatformRequest stageRequest(const StageCall &call, MonotonicTime now) const = 0;
     /** @throws Error (BadRequest) when the body can't be read */
     virtual std::vector<PieceOutcome> readStageResults(const StageCall &call, std::string_view body) const = 0;
-    virtual PlatformRequest freeRequest(const std::vector<std::string> &handles) const = 0;
+    /** @param target that made the results; any other refuses the request */
+    virtual PlatformRequest freeRequest(const TargetId &target, const std::vector<std::string> &handles) const = 0;
 };
 
 } // namespace CassiaRelay::Gateway
--- a/src/libs/gateway/targetregistry.cpp
+++ b/src/libs/gateway/targetregistry.cpp
@@ -343,6 +343,12 @@
     return found != m_targets.end() && isSameStart(found->second.record, record) && isAllowed(found->second, {});
 }
 
+bool TargetRegistry::isAtItsAddress(const TargetRecord &record, MonotonicTime now) const
+{
+    const auto found = m_targets.find(record.id);
+    return found != m_targets.end() && isSameStart(found->second.record, record) && found->second.misdirectedUntil <= now;
+}
+
 void TargetRegistry::removeExpiredStatements(MonotonicTime now)
 {
     m_statements.removeExpired(now);
--- a/src/libs/gateway/targetregistry.h
+++ b/src/libs/gateway/targetregistry.h
@@ -141,6 +141,8 @@
     void setMisdirected(const TargetRecord &target, MonotonicTime now);
     /** Whether the target is still published as in this record, and may be given work. */
     bool mayReceive(const TargetRecord &record) const;
+    /** Whether the target is still published as in this record, and no other one has answered at its address. */
+    bool isAtItsAddress(const TargetRecord &record, MonotonicTime now) const;
     void removeExpiredStatements(MonotonicTime now);
     void removeExpiredReports(MonotonicTime now);
 
--- a/tests/auto/gateway/tst_targetregistry.cpp
+++ b/tests/auto/gateway/tst_targetregistry.cpp
@@ -202,6 +202,27 @@
     BOOST_TEST(chosen(targets, requirements()).value() == "t0");
 }
 
+// Regression (review/6): results were freed at an address that was no longer that of their target.
+BOOST_AUTO_TEST_CASE(targetIsAtItsAddressUntilItIsPublishedAnewOrAnotherAnswers)
+{
+    TargetRegistry targets = makeRegistry(2);
+    const TargetRecord maker = target("t0", "engine", "a");
+    BOOST_TEST(targets.isAtItsAddress(maker, START));
+    TargetRecord leaving = maker;
+    leaving.isLeaving = true;
+    targets.put(leaving, START);
+    BOOST_TEST(targets.isAtItsAddress(maker, START));
+    targets.setMisdirected(maker, START);
+    BOOST_TEST(!targets.isAtItsAddress(maker, START));
+    TargetRecord restarted = maker;
+    restarted.startedAt += milliseconds(1);
+    targets.put(restarted, START + seconds(1));
+    BOOST_TEST(!targets.isAtItsAddress(maker, START + seconds(60)));
+    BOOST_TEST(targets.isAtItsAddress(restarted, START + seconds(60)));
+    targets.remove(maker.id);
+    BOOST_TEST(!targets.isAtItsAddress(restarted, START + seconds(60)));
+}
+
 // The entry of a target may say that it is ready while its answers say that it is leaving, and may come back after it was removed.
 BOOST_AUTO_TEST_CASE(targetThatSaysItIsLeavingGetsNothing)
 {
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -339,6 +339,16 @@
     BOOST_CHECK_THROW(ADAPTER.readStageResults(call, R"({"items":[{"handle":"h"}]})"), Error);
 }
 
+// Regression (review/6): results were freed at whatever target had got the address of their maker. Any other target answers 421.
+BOOST_AUTO_TEST_CASE(requestToFreeResultsNamesTheTarget)
+{
+    const PlatformRequest request = ADAPTER.freeRequest(TargetId("i-1"), { "h1", "h2" });
+    BOOST_REQUIRE(request.fields.size() == 1U);
+    BOOST_TEST(request.fields[0].name == "X-Cassiarelay-Expect-Instance");
+    BOOST_TEST(request.fields[0].value == "i-1");
+    BOOST_TEST(json::parse(request.body)["handles"].size() == 2U);
+}
+
 // Results go on in a list, in which a comma or a blank would make one handle into two.
 BOOST_AUTO_TEST_CASE(handleThatIsNoListItemIsNotTaken)
 {
--- a/tests/scenarios/gateways.py
+++ b/tests/scenarios/gateways.py
@@ -3,9 +3,11 @@
 import http.client
 import itertools
 import json
+import os
 import random
 import re
 import signal
+import subprocess
 import threading
 import time
 import zlib
@@ -22,6 +24,7 @@
 EVENTS = 16
 PART_TOKENS = 20  # of one part of a prompt
 RESULT_BYTES = 1000000
+REUSE_DELAY_S = 2.0  # from the end of a target until its address may be used again
 ROOM = 10  # results of RESULT_BYTES that a target holds
 ROUTES = [
     {"name": "draft", "prefix": "/draft/", "service": "engine", "kind": "stream", "timeoutMs": 10000, "targetLatencyMs": 2000,
@@ -103,7 +106,7 @@
 class Gateway:
     """One daemon. It has an address of its own, so that its ports are those of every VM and free."""
 
-    caller_port, ready_port, peer_port = 8600, 8601, 8602
+    caller_port, ready_port, peer_port, metrics_port = 8600, 8601, 8602, 9464
 
     def __init__(self, name, domain, address):
         self.name = name
@@ -131,6 +134,7 @@
         self.target_links = None
         self.own_stores = {}  # of gateways with relays of their own: (port of the store, address of the relays), by name
         self.store_processes = {}  # by name of the gateway
+        self.service_processes = {}  # that host all targets of a service, by name
         self.silent_stores = {}  # what is to be written when they answer again, by name of the gateway
         self.template = (self.build.parent / "platform/settings.template").read_text()
 
@@ -205,10 +209,22 @@
 
     def start_service(self, service, count, options=()):
         self.start_targets(service, count, ("--instance", service, *TARGET_OPTIONS[service], *options))
+        self.service_processes[service] = self.processes[-1]
         for target in self.targets:
             if target["pool"] == service:
                 self.publish_target(target)
 
+    def reuse_address(self, target, service):
+        """Crashes the targets of a service for good; the address of one is given to a new target of another service."""
+        self.service_processes[target["pool"]].kill()
+        time.sleep(REUSE_DELAY_S)
+        taker = {"target": "taker-0", "pool": service, "port": target["port"], "failureDomain": target["failureDomain"]}
+        self.start_process("taker", [self.build / "tests/standins/standin-target", "--port", target["port"], "--instance", "taker",
+                                     *TARGET_OPTIONS[service]])
+        self.output_lines("taker", 1)
+        self.targets = [other for other in self.targets if other["pool"] != target["pool"]] + [taker]
+        self.publish_target(taker)
+
     def start_gateways(self, count, behind_relays=False):
         network = f"127.{random.randrange(1, 255)}.{random.randrange(255)}"
         for index in range(count):
@@ -234,6 +250,15 @@
         path = self.write_settings(vm)
         vm.process = self.start_process(vm.name, [self.build / "src/app/cassiarelayd/cassiarelayd", "--gateway", "--settings", path])
 
+    def start_gateway_unread(self, vm):
+        """Starts it with its log going to a pipe whose reader has ended."""
+        reader, writer = os.pipe()
+        os.close(reader)
+        command = [self.build / "src/app/cassiarelayd/cassiarelayd", "--gateway", "--settings", self.write_settings(vm)]
+        vm.process = subprocess.Popen([str(part) for part in command], stdout=writer, stderr=writer)
+        os.close(writer)
+        self.processes.append(vm.process)
+
     def write_settings(self, vm, shutdown_s=8):
         """Renders the settings of a daemon from the template, as the platform does."""
         seeds = [other.endpoint(other.peer_port) for other in list(self.vms.values())[:3]]
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -2,6 +2,8 @@
 
 import json
 import signal
+import socket
+import threading
 import time
 
 from crashloads import CrashLoad
@@ -132,6 +134,22 @@
             if target["pool"] == service:
                 http_json(target["port"], "POST", "/fault", json.dumps({"maxRefusals": limit}))
 
+    # reuse-address TARGET SERVICE: all targets of its service crash for good; its address goes to a new target of the other service
+    def verb_reuse_address(self, name, service):
+        self.fleet.reuse_address(self.target(name), service)
+
+    # take-port VM caller|ready|peer|metrics SECONDS: another process holds a port of a gateway that was killed
+    def verb_take_port(self, name, port, seconds):
+        vm = self.fleet.vms[name]
+        holder = socket.create_server((vm.address, getattr(vm, f"{port}_port")), reuse_port=False)
+        threading.Timer(float(seconds), holder.close).start()
+
+    # restart-unread VM: starts it with its log going to a pipe that nobody reads
+    def verb_restart_unread(self, name):
+        vm = self.fleet.vms[name]
+        self.fleet.start_gateway_unread(vm)
+        self.fleet.wait_ready(vm)
+
     # version TARGET VERSION: the target publishes this version of its software
     def verb_version(self, name, version):
         target = self.target(name)
--- a/tests/standins/routeservice.cpp
+++ b/tests/standins/routeservice.cpp
@@ -81,7 +81,9 @@
 void RouteService::free(const Net::HttpExchangePointer &exchange, const json &body)
 {
     for (const json &handle : body.value("handles", json::array())) {
-        m_results.erase(handle.get<std::string>());
+        const auto text = handle.get<std::string>();
+        m_foreignFrees += boost::starts_with(text, m_options.instance + "/") ? 0 : 1;
+        m_results.erase(text);
     }
     exchange->respond({ 200, "application/json", "{}", {} });
 }
@@ -100,7 +102,8 @@
              { "stageCalls", m_calls },
              { "wrongInputs", m_wrongInputs },
              { "withoutDeadline", m_withoutDeadline },
-             { "misdirected", m_misdirected } };
+             { "misdirected", m_misdirected },
+             { "foreignFrees", m_foreignFrees } };
 }
 
 void RouteService::runPieces(const Net::HttpExchangePointer &exchange, const json &items, const TargetLoad &load)
--- a/tests/standins/routeservice.h
+++ b/tests/standins/routeservice.h
@@ -66,6 +66,7 @@
     std::uint64_t m_wrongInputs = 0;
     std::uint64_t m_withoutDeadline = 0;
     std::uint64_t m_misdirected = 0;
+    std::uint64_t m_foreignFrees = 0; ///< handles of other targets in requests to free results
 };
 
 } // namespace CassiaRelay::StandIns
--- a/tests/standins/standintarget.cpp
+++ b/tests/standins/standintarget.cpp
@@ -153,14 +153,14 @@
 
 void StandInTarget::routedWork(const Net::HttpExchangePointer &exchange, const std::string &path, const json &body)
 {
+    if (m_routes->turnsAway(exchange, load())) {
+        return;
+    }
     if (isStageFree(path)) {
         m_rateLimit.recordArrival(std::chrono::steady_clock::now());
         m_routes->free(exchange, body);
         return;
     }
-    if (m_routes->turnsAway(exchange, load())) {
-        return;
-    }
     const MonotonicTime now = std::chrono::steady_clock::now();
     m_rateLimit.recordArrival(now);
     if (m_pausedSince && now > *m_pausedSince + PAUSE_GRACE && now < *m_pausedSince + *m_refusalPause) {
