Name the receiver of a request that is handed over

peerFieldsAreThoseThatTheCallerSentEndToEnd asks for the field, and that one of the caller's is not passed on.

--- a/src/app/gateway/relaysession.cpp
+++ b/src/app/gateway/relaysession.cpp
@@ -345,9 +345,10 @@
 Net::HttpCallRequest RelaySession::peerRequest(const Gateway::HandOverRequest &action) const
 {
     const auto &message = m_exchange->request();
-    Gateway::PlatformRequest forwarded {
-        std::string(message.method_string()), std::string(message.target()), m_services.port.peerFields(m_callerFields), message.body()
-    };
+    Gateway::PlatformRequest forwarded { std::string(message.method_string()),
+                                         std::string(message.target()),
+                                         m_services.port.peerFields(m_callerFields, action.receiver.vm),
+                                         message.body() };
     removeCellFields(forwarded.fields);
     forwarded.fields.push_back(
         { HANDOVER_FIELD, handoverText(action, m_machine.request(), m_services.vm, std::chrono::steady_clock::now()) });
--- a/src/libs/gateway/platformport.h
+++ b/src/libs/gateway/platformport.h
@@ -81,8 +81,11 @@
     virtual CallerRequestHead readCallerHead(const std::vector<HttpField> &fields) const = 0;
     /** Fields of the caller's request that are forwarded, and those that the daemon sets. */
     virtual std::vector<HttpField> targetFields(const std::vector<HttpField> &callerFields, const TargetRequestHead &head) const = 0;
-    /** Fields of the caller's request that another daemon needs to run it in place of this one. */
-    virtual std::vector<HttpField> peerFields(const std::vector<HttpField> &callerFields) const = 0;
+    /**
+     * Fields of the caller's request that another daemon needs to run it in place of this one.
+     * @param receiver that daemon; a target at its address refuses the request
+     */
+    virtual std::vector<HttpField> peerFields(const std::vector<HttpField> &callerFields, const VmId &receiver) const = 0;
     virtual TargetResponse readTargetResponse(unsigned status, const std::vector<HttpField> &fields) const = 0;
 
     virtual PlatformRequest stageRequest(const StageCall &call, MonotonicTime now) const = 0;
--- a/tests/auto/platform/tst_platform.cpp
+++ b/tests/auto/platform/tst_platform.cpp
@@ -390,11 +390,16 @@
                                                                            { "Connection", "close, X-Hop" },
                                                                            { "X-Hop", "1" },
                                                                            { "Content-Length", "3" },
-                                                                           { "X-Cassiarelay-Deadline-Ms", "100" } });
-    BOOST_REQUIRE(fields.size() == 3U);
+                                                                           { "X-Cassiarelay-Expect-Instance", "i-1" },
+                                                                           { "X-Cassiarelay-Deadline-Ms", "100" } },
+                                                                         VmId("front-2"));
+    BOOST_REQUIRE(fields.size() == 4U);
     BOOST_TEST(fields[0].name == "Host");
     BOOST_TEST(fields[1].value == "Bearer key");
     BOOST_TEST(fields[2].name == "X-Cassiarelay-Deadline-Ms");
+    // A target that has got the address of the other daemon doesn't run the request.
+    BOOST_TEST(fields[3].name == "X-Cassiarelay-Expect-Instance");
+    BOOST_TEST(fields[3].value == "front-2");
 }
 
 BOOST_AUTO_TEST_CASE(pauseIsReadFromRefusalsOfTheTarget)
