Refuse requests with unknown transfer codings

The counterpart of the broken answers: a request with a coding other than chunked was taken for one without a body, and its body for the next request on the connection. It is refused with 400 now, by the check that answers go through.

refusesUnknownTransferCodings fails without the check in HttpSession.

--- a/src/libs/net/httpsession.cpp
+++ b/src/libs/net/httpsession.cpp
@@ -1,6 +1,7 @@
 #include "httpsession.h"
 
 #include "httpserverstate.h"
+#include "messagechecks.h"
 #include "problemdocument.h"
 #include "sessionexchange.h"
 
@@ -182,6 +183,13 @@
             return;
         }
     }
+    if (m_parser->is_header_done() && !hadHeader) {
+        // What follows could be read as the body by one and as another request by the next.
+        if (const std::optional<std::string> flaw = framingFlaw(m_parser->get().base(), m_parser->get().version())) {
+            refuse(ErrorKind::BadRequest, httpStatus(ErrorKind::BadRequest), *flaw);
+            return;
+        }
+    }
     if (m_parser->is_done()) {
         handleRequest();
     } else if (!hadHeader && m_parser->is_header_done()) {
--- a/tests/auto/net/tst_httpserver.cpp
+++ b/tests/auto/net/tst_httpserver.cpp
@@ -80,6 +80,33 @@
     checkProblem(client.read(), 400);
 }
 
+// Regression (issue 57): a request with an unknown coding was taken for one without a body, and its body for the next request.
+BOOST_AUTO_TEST_CASE(refusesUnknownTransferCodings)
+{
+    std::atomic<int> handled { 0 };
+    Server server([&handled](const HttpExchangePointer &exchange) {
+        ++handled;
+        echo(exchange);
+    });
+    const std::string smuggled = post("/smuggled", "x");
+    const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
+    const std::string head = "POST / HTTP/1.1\r\nHost: test\r\n";
+    for (const std::string &request : { head + "Transfer-Encoding: xchunked\r\n\r\n" + smuggled,
+                                        head + "Transfer-Encoding: chunked, gzip\r\n\r\n" + smuggled,
+                                        head + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+                                        head + "Transfer-Encoding: identity\r\n\r\n" + smuggled,
+                                        head + "Transfer-Encoding: identity\r\nContent-Length: 2\r\n\r\nok",
+                                        "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks }) {
+        Client client(server.http().port());
+        client.send(request);
+        checkProblem(client.read(), 400);
+    }
+    BOOST_TEST(handled == 0);
+    Client client(server.http().port());
+    client.send(head + "Transfer-Encoding: chunked\r\n\r\n" + chunks);
+    BOOST_TEST(client.read().body() == "ok");
+}
+
 BOOST_AUTO_TEST_CASE(refusesSlowSender)
 {
     Server server(echo, shortReadTimeout());
