Start while a port is held, and serve when nobody reads the log

A daemon whose log goes to a pipe was ended by SIGPIPE with its first line once the reader had ended, and so was each one started in its place: with the daemon of, exit -13 and all of 1,242 requests cut. SIGPIPE is ignored now, and standard streams that are closed at the start are opened, as their numbers went to sockets. A daemon whose port was held ended with 2 at once. It tries again for 75 s now; the process before it, or an outgoing connection that was closed a minute ago, may hold the port. The port of the metrics keeps no daemon from serving any more.

--- a/src/app/cassiarelayd/main.cpp
+++ b/src/app/cassiarelayd/main.cpp
@@ -3,10 +3,17 @@
 #include "../gateway/gatewaydaemon.h"
 
 #include <boost/program_options.hpp>
+#include <net/net.h>
 #include <platform/platform.h>
 #include <spdlog/spdlog.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <csignal>
 #include <iostream>
+#include <memory>
+#include <thread>
 
 namespace {
 
@@ -14,6 +21,41 @@
 
 constexpr int EXIT_BAD_SETTINGS = 2;
 constexpr int EXIT_BAD_USAGE = 64;
+constexpr std::chrono::seconds MAX_PORT_WAIT { 75 }; // connections that were closed hold their ports for 60 s
+constexpr std::chrono::milliseconds PORT_RETRY_DELAY { 100 };
+
+// The log may go to a pipe whose reader has ended, which must not end the daemon. A stream that is closed at the start would give its
+// number to the first socket, and the log would be written into that.
+void guardStandardStreams()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    for (const int stream : { STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO }) {
+        if (::fcntl(stream, F_GETFD) == -1) {
+            ::open("/dev/null", O_RDWR);
+        }
+    }
+}
+
+// The process before this one may not be quite gone, and an outgoing connection of any process may have got the port meanwhile.
+template<typename Daemon, typename... Arguments>
+std::unique_ptr<Daemon> startWhenPortsAreFree(const Arguments &...arguments)
+{
+    const auto end = std::chrono::steady_clock::now() + MAX_PORT_WAIT;
+    std::string reported;
+    while (true) {
+        try {
+            return std::make_unique<Daemon>(arguments...);
+        } catch (const CassiaRelay::Net::AddressInUse &error) {
+            if (std::chrono::steady_clock::now() >= end) {
+                throw;
+            }
+            if (std::exchange(reported, error.what()) != error.what()) {
+                std::cerr << "cassiarelayd: " << error.what() << "; trying again for " << MAX_PORT_WAIT.count() << " s\n";
+            }
+        }
+        std::this_thread::sleep_for(PORT_RETRY_DELAY);
+    }
+}
 
 void setUpLog(const CassiaRelay::Schema::LogSettings &log)
 {
@@ -47,8 +89,7 @@
         return EXIT_SUCCESS;
     }
     const CassiaRelay::Platform::Adapter adapter;
-    CassiaRelay::GatewayDaemon::GatewayDaemon daemon(file, settings, adapter);
-    daemon.run();
+    startWhenPortsAreFree<CassiaRelay::GatewayDaemon::GatewayDaemon>(file, settings, adapter)->run();
     return EXIT_SUCCESS;
 }
 
@@ -60,8 +101,7 @@
         return EXIT_SUCCESS;
     }
     setUpLog(settings.log);
-    CassiaRelay::Daemon::Daemon daemon(settings);
-    daemon.run();
+    startWhenPortsAreFree<CassiaRelay::Daemon::Daemon>(settings)->run();
     return EXIT_SUCCESS;
 }
 
@@ -69,6 +109,7 @@
 
 int main(int argc, char **argv)
 {
+    guardStandardStreams();
     options::options_description description("cassiarelayd --settings FILE [--gateway] [--check]");
     description.add_options()("settings", options::value<std::string>(), "settings file of this daemon")(
         "check", "check the settings and exit")("gateway", "serve the routes of the users' platform")("help", "show this help");
--- a/src/app/gateway/gatewaydaemon.cpp
+++ b/src/app/gateway/gatewaydaemon.cpp
@@ -177,7 +177,6 @@
             m_requestDispatcher.handle(exchange);
         });
     m_readinessServer = serve(settings.readiness, &GatewayDaemon::handleReadiness);
-    m_metricsServer = serve(settings.metrics, &GatewayDaemon::handleMetrics);
     if (settings.peers) {
         m_peerServer = serve(*settings.peers, &GatewayDaemon::handlePeer);
         m_peerGossip = std::make_unique<PeerGossip>(m_context,
@@ -225,7 +224,7 @@
         m_placementBroker.start();
     }
     m_readinessServer->start();
-    m_metricsServer->start();
+    openMetricsPort();
     m_callerServer->start();
     waitForSignal();
     runHousekeeping();
@@ -234,6 +233,21 @@
     m_log.write("stopped", { { "vm", m_settings.vm.value() } }, std::chrono::steady_clock::now());
 }
 
+// Callers are served while another process holds the port of the metrics.
+void GatewayDaemon::openMetricsPort()
+{
+    try {
+        m_metricsServer = std::make_unique<Net::HttpServer>(m_context,
+                                                            m_settings.metrics.address,
+                                                            m_settings.metrics.port,
+                                                            Net::HttpLimits {},
+                                                            [this](const Net::HttpExchangePointer &exchange) { handleMetrics(exchange); });
+        m_metricsServer->start();
+    } catch (const Net::AddressInUse &error) {
+        m_log.write("metrics not served", { { "reason", error.what() }, { "remedy", error.remedy() } }, std::chrono::steady_clock::now());
+    }
+}
+
 // An exception that leaves a handler ends what the handler was about; all other requests go on.
 void GatewayDaemon::runEventLoop()
 {
@@ -580,6 +594,9 @@
     m_pieceBroker.sendDeferredFrees();
     m_pieceBroker.logBacklog();
     reloadIfChanged();
+    if (!m_metricsServer) {
+        openMetricsPort();
+    }
     m_log.flush(now);
     m_housekeepingTimer.expires_after(HOUSEKEEPING_INTERVAL);
     m_housekeepingTimer.async_wait([this](const boost::system::error_code &error) {
--- a/src/app/gateway/gatewaydaemon.h
+++ b/src/app/gateway/gatewaydaemon.h
@@ -52,6 +52,7 @@
     void endRemainingSessions();
     void stopNow();
     void runHousekeeping();
+    void openMetricsPort();
     void runEventLoop();
 
     std::string m_settingsFile;
--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "httpserver.h"
 
+#include "addressinuse.h"
 #include "httpserverstate.h"
 #include "httpsession.h"
 
@@ -42,6 +43,11 @@
         m_acceptor.listen();
         m_port = m_acceptor.local_endpoint().port();
     } catch (const boost::system::system_error &failure) {
+        if (failure.code() == boost::asio::error::address_in_use) {
+            throw AddressInUse(ErrorKind::SettingsInvalid,
+                               "cannot listen on " + address + ":" + std::to_string(port) + ": " + failure.what(),
+                               "end the process that holds the port, or choose another one");
+        }
         throw Error(ErrorKind::SettingsInvalid,
                     "cannot listen on " + address + ":" + std::to_string(port) + ": " + failure.what(),
                     "choose an address of this machine and a free port");
--- a/src/libs/net/net.h
+++ b/src/libs/net/net.h
@@ -4,6 +4,7 @@
  * Public header of the net library: sockets towards callers, targets, the platform and other daemons.
  */
 
+#include "addressinuse.h"
 #include "connectionprobe.h"
 #include "httpclient.h"
 #include "httpexchange.h"
