List the store again while there is no configuration

Callers got 503 for good (RECOVER) when the store answered its list with nothing for a moment after all gateways had been killed: each of them waited for changes from then on, and what is in the store changes only when it is written again.

While there is no configuration, each round of the watch is followed by a list. The tests of the watcher publish a configuration now, so that they go on testing watches.

Failed before: listIsReadAgainWhileThereIsNoConfiguration.

--- a/src/app/gateway/storewatcher.cpp
+++ b/src/app/gateway/storewatcher.cpp
@@ -232,7 +232,9 @@
         return;
     }
     m_isPaused = true;
-    runAfter(std::max<Duration>(Duration::zero(), m_watchStartedAt + m_timing.interval - now), &StoreWatcher::watch);
+    // A list without a configuration may have been wrong, as what is in the store changes only when it is written again.
+    const auto next = m_catalogue.table() ? &StoreWatcher::watch : &StoreWatcher::list;
+    runAfter(std::max<Duration>(Duration::zero(), m_watchStartedAt + m_timing.interval - now), next);
     onApplied(m_watchStartedAt);
     hasten();
 }
--- a/tests/auto/platform/tst_storewatcher.cpp
+++ b/tests/auto/platform/tst_storewatcher.cpp
@@ -15,6 +15,11 @@
 
 constexpr std::chrono::milliseconds CHANGE_TIME { 2000 };
 
+std::string configurationBody()
+{
+    return R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/","kind":"safe","service":"s"}]})";
+}
+
 std::string targetBody()
 {
     return R"({"service":"s","address":"127.0.0.1:1","zone":"a","slots":1,"state":"ready","born":1,"seq":1})";
@@ -24,8 +29,11 @@
 class WatchedStore
 {
 public:
-    /** @param sendsSlowly responses to watches arrive in parts, over longer than a watch waits */
-    explicit WatchedStore(bool sendsSlowly = false)
+    /**
+     * @param sendsSlowly responses to watches arrive in parts, over longer than a watch waits
+     * @param hidesItems lists are answered as if the store held nothing, until showItems()
+     */
+    explicit WatchedStore(bool sendsSlowly = false, bool hidesItems = false)
         : m_store(m_server.get())
         , m_client(m_server.get())
         , m_log(Schema::LogLevel::Error)
@@ -38,7 +46,9 @@
                     m_log,
                     [this](const Gateway::CatalogueChanges &changes) { onChanges(changes); })
         , m_sendsSlowly(sendsSlowly)
+        , m_hidesItems(hidesItems)
     {
+        write("op/config", configurationBody());
         run([this] { m_watcher.start(); });
     }
 
@@ -52,11 +62,19 @@
 
     void publishTarget(const std::string &id)
     {
-        const std::string body = targetBody();
-        Loopback::Client client(m_server.http().port());
-        client.send("PUT /items/servers/" + boost::urls::encode(id, boost::urls::unreserved_chars)
-                    + " HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-        client.read();
+        write("servers/" + boost::urls::encode(id, boost::urls::unreserved_chars), targetBody());
+    }
+
+    void showItems()
+    {
+        run([this] { m_hidesItems = false; });
+    }
+
+    bool hasConfiguration()
+    {
+        bool isKnown = false;
+        run([&] { isKnown = m_catalogue.table() != nullptr; });
+        return isKnown;
     }
 
     void takeCopy()
@@ -164,6 +182,9 @@
     {
         if (StandIns::PublishedStore::isWrite(std::string(exchange->request().target()))) {
             m_store.write(exchange);
+        } else if (m_hidesItems && exchange->request().target().find("range") != std::string_view::npos) {
+            const std::string revision = std::to_string(m_revision);
+            exchange->respond({ 200, "application/json", R"({"items":[],"truncated":false,"currentRev":)" + revision + "}", {} });
         } else if (m_cutsWatch && isWaitingWatch(exchange)) {
             m_cutsWatch = false;
             exchange->abortAfterQueued();
@@ -175,6 +196,13 @@
         }
     }
 
+    void write(const std::string &path, const std::string &body)
+    {
+        Loopback::Client client(m_server.http().port());
+        client.send("PUT /items/" + path + " HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        m_revision = std::stoll(client.read().body());
+    }
+
     bool isCutPending()
     {
         bool isPending = false;
@@ -216,6 +244,8 @@
     std::set<std::string> m_known;
     StoreWatcher m_watcher;
     bool m_sendsSlowly;
+    bool m_hidesItems;
+    std::atomic<std::int64_t> m_revision { 0 }; ///< of the last write through write()
     bool m_cutsWatch = false;
 };
 
@@ -309,3 +339,18 @@
         }
     }
 }
+
+// Regression (issue 57): a store that came back with nothing in its list, for a moment, after all daemons had been started anew. They
+// waited for changes from then on, and had no configuration for good.
+BOOST_AUTO_TEST_CASE(listIsReadAgainWhileThereIsNoConfiguration)
+{
+    WatchedStore store(false, true);
+    store.publishTarget("first");
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST(!store.hasConfiguration());
+    store.showItems();
+    for (int attempt = 0; attempt < 500 && !store.hasConfiguration(); ++attempt) {
+        std::this_thread::sleep_for(10ms);
+    }
+    BOOST_TEST(store.hasConfiguration());
+}
