--- a/tests/auto/net/tst_targetclient.cpp
+++ b/tests/auto/net/tst_targetclient.cpp
@@ -200,6 +200,7 @@
         std::promise<void> finished;
         Net::HttpCallRequest call;
         call.address = "127.0.0.1";
+        call.path = "/";
         call.port = target.port();
         call.maxIdleConnections = maxIdleConnections;
         Net::HttpCallHandlers handlers;
@@ -243,6 +244,7 @@
     std::promise<Net::CallFailure> failure;
     Net::HttpCallRequest call;
     call.address = "127.0.0.1";
+    call.path = "/";
     call.port = server.http().port();
     call.deadline = std::chrono::steady_clock::now() + 100ms;
     Net::HttpCallHandlers handlers;
