--- a/tests/auto/net/tst_httpclient.cpp
+++ b/tests/auto/net/tst_httpclient.cpp
@@ -463,6 +463,7 @@
     }
 }
 
+// Regression (issue 57): the same, on a connection that has served before.
 BOOST_DATA_TEST_CASE(brokenAnswerIsNotTakenOnAKeptConnection, boost::unit_test::data::make(BROKEN_ANSWERS), broken)
 {
     ScriptedServer server({ answer("first", "one"), broken.bytes });
@@ -474,7 +475,7 @@
     BOOST_TEST(isBroken(call(client, request)));
 }
 
-// A head that stops is no answer, wherever it stops and however the connection ends.
+// Guards against part of a head that is taken for an answer (issue 57), wherever it stops and however the connection ends.
 BOOST_AUTO_TEST_CASE(headThatStopsIsNotTaken)
 {
     const std::string whole = okHead("X-Request-Id: first\r\nContent-Length: 0\r\n");
@@ -490,7 +491,7 @@
 BOOST_AUTO_TEST_CASE(openAnswerToAnUploadThatWasNotReadIsNotWhole)
 {
     const std::string early = okHead("X-Request-Id: first\r\n") + std::string(21, 'x');
-    // The buffers of both sockets hold all of the first one.
+    // The buffers of both sockets may hold all of the first one.
     for (const std::size_t uploadBytes : { 3'900'000, 12'000'000 }) {
         for (const Ending ending : { Ending::Close, Ending::Reset }) {
             for (const std::chrono::milliseconds pause : { 0ms, 0ms, 50ms }) {
@@ -507,7 +508,8 @@
     }
 }
 
-// An answer that says where it ends is whole, also when the server did not want the rest of the upload.
+// Guards against early answers with an end of their own that are refused: they are whole, also when the server did not want the rest of the
+// upload.
 BOOST_AUTO_TEST_CASE(earlyAnswerWithAnEndIsTaken)
 {
     constexpr std::size_t UPLOAD_BYTES = 3'900'000;
@@ -522,6 +524,7 @@
     }
 }
 
+// Guards against whole answers without a length that are refused, and against ones that are reset and taken.
 BOOST_AUTO_TEST_CASE(openAnswerEndsWithItsConnection)
 {
     BOOST_TEST(callOnce(okHead({}) + "ok", Ending::Close).body == "ok");
@@ -539,6 +542,7 @@
     BOOST_TEST(end.body == "ok");
 }
 
+// Guards against sound chunked answers that are refused for how their coding is written.
 BOOST_AUTO_TEST_CASE(namesOfCodingsHaveNoCase)
 {
     BOOST_TEST(callOnce(okHead("Transfer-Encoding: Chunked \r\n") + CHUNKS, Ending::Close).body == "ok");
--- a/tests/scenarios/gatewayscenario.py
+++ b/tests/scenarios/gatewayscenario.py
@@ -144,7 +144,7 @@
         holder = socket.create_server((vm.address, getattr(vm, f"{port}_port")), reuse_port=False)
         threading.Timer(float(seconds), holder.close).start()
 
-    # restart-unread VM: starts it with its log going to a pipe that nobody reads
+    # restart-unread VM: starts it with its log going to a pipe whose reader has ended
     def verb_restart_unread(self, name):
         vm = self.fleet.vms[name]
         self.fleet.start_gateway_unread(vm)
